--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,684 @@
+// Package policy makes every decision of a node: which server an op is pushed to, whether it is
+// pushed at all, again, or answered at once.
+//
+// New starts a Node from settings; call Step with each Input in the order it came, at a clock that
+// never goes back, and carry out the Effects returned before the next call. A Node is not for use
+// from several goroutines. The interface (Decider), inputs and effects are defined in types.go.
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+)
+
+const (
+	target      = 0.5         // marks a second that control steers to (clause 9.5's default)
+	endAfter    = 10 * Second // TerminationPendingPeriod
+	period      = 2 * Second  // 1/target: the memory of rates, so that one mark alone starts nothing
+	beat        = period / 8  // between steps of the steering
+	splash      = 1.0         // SplashAmount: the bucket counts ops
+	fill        = 4 * splash  // MaximumFill
+	leakTicks   = 4           // LeakInterval, in ticks of the clock
+	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
+	tightest    = 1.0 / 16    // lowest rate, likewise
+	stepDown    = 1.0 / 16    // the rate falls by this for each multiple of the target too much
+	stepUp      = 1.0 / 4     // and rises by up to this a step
+	slowShare   = 1.0 / 8     // slow answers are marks while more than this share is slow
+	shareMemory = 16          // recent answers, for a server's shares
+	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
+	againShare  = 1.0 / 8     // further pushes that may add work, a first push
+	againMost   = 16          // and how many may be saved up
+	mostPushes  = 8           // places for an op's pushes
+	beatToken   = Token(0)    // of the steering's timer; ops' tokens are never 0
+)
+
+// rate is a number a second that forgets at the pace of one period.
+type rate struct {
+	value float64
+	at    Micros
+}
+
+func (r *rate) read(now Micros) float64 {
+	if now > r.at {
+		r.value *= math.Exp(-float64(now-r.at) / float64(period))
+		r.at = now
+	}
+	return r.value
+}
+
+func (r *rate) add(now Micros) { r.value = r.read(now) + float64(Second)/float64(period) }
+
+// throttle is the overload control towards one server (clause 8.2).
+type throttle struct {
+	marks, accepted   rate
+	slow              float64 // share of recent answers past target latency
+	on                bool
+	cut, top          uint8
+	interval          Micros // LeakInterval
+	count, leak       float64
+	high, low         float64 // bounds of LeakAmount
+	leaked, quiet     Micros  // last leak; last mark or rejection
+	since             Micros
+	offered, rejected int
+}
+
+// mark counts an overload mark, and starts control where their rate passes the target (8.2.1).
+func (t *throttle) mark(now Micros) (started bool) {
+	t.marks.add(now)
+	t.quiet = now
+	if t.on || t.marks.read(now) <= target {
+		return false
+	}
+	per := float64(t.interval) / float64(Second)
+	recent := max(t.accepted.read(now), 2*target) * per
+	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, top: t.top, interval: t.interval,
+		count: fill, leak: recent, high: recent * loosest, low: recent * tightest, leaked: now, quiet: now, since: now}
+	return true
+}
+
+// admit passes an op by its benefit's level and, at the cut, by the type 3 bucket (8.2.2, 8.2.5).
+func (t *throttle) admit(now Micros, level uint8) bool {
+	if !t.on {
+		return true
+	}
+	t.offered++
+	if n := (now - t.leaked) / t.interval; n > 0 {
+		t.count = max(0, t.count-float64(n)*t.leak)
+		t.leaked += n * t.interval
+	}
+	switch {
+	case level > t.cut:
+		return true
+	case level == t.cut && t.count <= max(fill, t.leak)-splash:
+		t.count += splash
+		return true
+	}
+	t.rejected++
+	t.quiet = now
+	return false
+}
+
+// steer moves LeakAmount, faster the further marks are off target, then the cut (8.2.3, 8.2.5).
+// It ends control after endAfter with no mark and no rejection (8.2.4).
+func (t *throttle) steer(now Micros) (ended bool) {
+	if !t.on {
+		return false
+	}
+	if now-t.quiet >= endAfter {
+		t.on = false
+		return true
+	}
+	off := t.marks.read(now) / target
+	switch {
+	case off > 1 && t.leak > t.low:
+		t.leak = max(t.low, t.leak*max(0.5, 1-stepDown*(off-1)))
+	case off > 1 && t.cut < t.top:
+		t.cut, t.count, t.leak = t.cut+1, fill, t.high
+	case off < 1 && t.leak < t.high:
+		t.leak = min(t.high, t.leak*(1+stepUp*(1-off)))
+	case off < 1 && t.cut > 0:
+		t.cut, t.count, t.leak = t.cut-1, fill, t.low
+	}
+	return false
+}
+
+// server is what the node knows of one server.
+type server struct {
+	Entry
+	throttle
+	held     int     // pushes out
+	turn     float64 // of the weighted rotation
+	errors   float64 // share of recent pushes that ended in an error
+	failures int     // in a row, without an answer
+	timeouts int     // in a row
+	down     Micros  // no push before this
+	tried    uint64  // the round of pick that passed it over
+}
+
+// observe learns from the end of a push: marks, and the health of the server.
+func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64) (started bool) {
+	error := how == Errored
+	if how == Acked || error {
+		s.errors += (number(error) - s.errors) / shareMemory
+	}
+	switch how {
+	case Acked:
+		s.failures, s.timeouts = 0, 0
+		s.slow += (number(slow) - s.slow) / shareMemory
+		return slow && s.slow > slowShare && s.mark(now)
+	case Full:
+		return s.mark(now)
+	case TimedOut:
+		if s.timeouts++; s.timeouts > 2 {
+			s.fail(now, dial)
+		}
+		return s.mark(now)
+	case ConnectFailed, Reset:
+		s.fail(now, dial)
+	case Errored:
+		// Danger: a server that fails fast holds little and is fed by the rotation (sinkhole).
+		if s.errors > sinkhole && s.errors > 2*common {
+			s.fail(now, dial)
+		} else if common > slowShare {
+			// Danger: errors from everywhere come from the tier below being full; this tier's work
+			// for them is lost, so they count as marks.
+			return s.mark(now)
+		}
+	}
+	return false
+}
+
+// fail keeps the server out of the rotation, twice as long each time, then lets one push try.
+func (s *server) fail(now, dial Micros) {
+	s.failures = min(s.failures+1, 5)
+	s.down = now + dial<<s.failures
+}
+
+// warmth is the share of its capacity that the server surely has by now.
+func (s *server) warmth(now Micros, rule *ColdRule) float64 {
+	age := now - s.Started
+	if s.Started == 0 || age >= rule.Warm {
+		return 1
+	}
+	return rule.From + (1-rule.From)*float64(max(0, age))/float64(rule.Warm)
+}
+
+// registry follows the list of servers where it must be asked.
+type registry struct {
+	RegistryRule
+	next, wait Micros // next call, 0 while subscribed; last wait after a failure
+}
+
+// Danger: the whole fleet may start, or lose the registry, together, and it is one small service:
+// calls are spread at random and back off.
+func (r *registry) heard(now Micros, form ListForm, rng *rand.Rand) {
+	if !r.Ask {
+		return
+	}
+	spread := func(most Micros) Micros { return now + 1 + Micros(rng.Float64()*float64(most)) }
+	switch form {
+	case ListCached:
+		r.next, r.wait = spread(r.Within/8), r.Within/16
+	case ListFailed:
+		r.next = spread(r.wait) + r.wait/2
+		r.wait = min(2*r.wait, r.Within/2)
+	default:
+		r.next, r.wait = 0, r.Within/16
+	}
+}
+
+// answers is the recent answer time of a category.
+type answers struct{ mean, dev float64 }
+
+func (a *answers) learn(took Micros) {
+	if a.mean == 0 {
+		a.mean, a.dev = float64(took), float64(took)/2
+		return
+	}
+	off := float64(took) - a.mean
+	a.mean += off / shareMemory
+	a.dev += (math.Abs(off) - a.dev) / shareMemory
+}
+
+// state of an op in hand.
+type state uint8
+
+const (
+	fresh     state = iota
+	out             // a push is out, no earlier one may have run
+	risked          // a push is out, an earlier one may have run
+	streaming       // the answer has begun and is the client's
+	over            // answered; pushes may still be out
+)
+
+// signal is an input as an op's state sees it.
+type signal uint8
+
+const (
+	arrives signal = iota
+	answered
+	neverRan
+	mayHaveRun
+	began
+	due
+	leaves
+)
+
+// table holds the decisions on an op. The first row of its state and signal whose effect can be
+// had is taken.
+var table = []struct {
+	at   state
+	on   signal
+	do   func(*Node, *op) bool
+	next state
+}{
+	{fresh, arrives, (*Node).push, out},
+	{fresh, arrives, (*Node).nack, over},
+
+	{out, answered, (*Node).drop, over},
+	{out, neverRan, (*Node).push, out},
+	{out, neverRan, (*Node).nack, over},
+	{out, mayHaveRun, (*Node).push, risked},
+	{out, mayHaveRun, (*Node).nack, over},
+	{out, mayHaveRun, (*Node).deadLetter, over},
+	{out, due, (*Node).nack, over},
+	{out, due, (*Node).deadLetter, over},
+	{out, began, (*Node).keep, streaming},
+	{out, leaves, (*Node).drop, over},
+
+	{risked, answered, (*Node).drop, over},
+	{risked, neverRan, (*Node).push, risked},
+	{risked, neverRan, (*Node).nack, over},
+	{risked, neverRan, (*Node).deadLetter, over},
+	{risked, mayHaveRun, (*Node).push, risked},
+	{risked, mayHaveRun, (*Node).nack, over},
+	{risked, mayHaveRun, (*Node).deadLetter, over},
+	{risked, due, (*Node).nack, over},
+	{risked, due, (*Node).deadLetter, over},
+	{risked, began, (*Node).keep, streaming},
+	{risked, leaves, (*Node).drop, over},
+
+	{streaming, answered, (*Node).drop, over},
+	{streaming, leaves, (*Node).drop, over},
+}
+
+// signals gives each outcome's meaning to an op: only some prove that the push never ran.
+var signals = [...]signal{Acked: answered, Errored: mayHaveRun, Full: neverRan, TimedOut: mayHaveRun,
+	ConnectFailed: neverRan, Reset: mayHaveRun, Cancelled: mayHaveRun, Moot: neverRan}
+
+// op is an op in hand. It keeps its place in the slab until its last push has ended.
+type op struct {
+	id       OpID
+	category CategoryID
+	level    uint8
+	state    state
+	pushes   uint8 // made
+	allowed  uint8 // by benefit
+	out      uint8 // pushes still out
+	place    uint16
+	life     uint16            // of the place, so that an earlier op's timer does not fire on this one
+	goal     Micros            // an answer later than this is worth nothing
+	last     Micros            // answered by then
+	risk     Micros            // send time of the first push that may have run; 0: none
+	group    int32             // its server
+	to       [mostPushes]int32 // server of each push still out, or -1
+	sent     [mostPushes]Micros
+}
+
+// Node decides for one balancer.
+type Node struct {
+	now      Micros
+	rng      *rand.Rand
+	place    Place
+	rule     PushRule
+	cold     ColdRule
+	registry registry
+	kinds    []Category
+	levels   []float64 // distinct benefits, ascending
+	shares   ShareRule
+	used     []rate // ops a second of each tenant
+	took     []answers
+	servers  []server
+	byID     map[ServerID]int32
+	ops      []op
+	free     []uint16
+	byOp     map[OpID]uint16
+	errors   float64 // share of recent answers of all servers that are errors
+	again    float64 // further pushes saved up
+	beating  bool
+	round    uint64 // of pick
+	effects  []Effect
+}
+
+// New starts a node that knows no server yet.
+func New(seed int64, place Place, kinds []Category, shares ShareRule, rule PushRule, cold ColdRule,
+	reg RegistryRule) *Node {
+	rule.Max = min(rule.Max, mostPushes)
+	n := &Node{rng: rand.New(rand.NewSource(seed)), place: place, rule: rule, cold: cold, kinds: kinds,
+		registry: registry{RegistryRule: reg}, shares: shares, used: make([]rate, len(shares.Quota)),
+		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{}, again: againMost}
+	for _, c := range kinds {
+		n.levels = append(n.levels, c.Benefit)
+		if len(shares.Quota) > 0 {
+			n.levels = append(n.levels, c.Benefit*shares.Beyond)
+		}
+	}
+	slices.Sort(n.levels)
+	n.levels = slices.Compact(n.levels)
+	return n
+}
+
+// Step takes one input and returns what to do, valid until the next call.
+func (n *Node) Step(now Micros, in *Input) []Effect {
+	n.now, n.effects = now, n.effects[:0]
+	if !n.beating {
+		n.beating = true
+		n.emit(Effect{Kind: Wake, At: now + beat, Token: beatToken})
+	}
+	switch in.Kind {
+	case OpArrived:
+		n.decide(n.take(in), arrives)
+	case PushEnded:
+		n.ended(in)
+	case OpAbandoned:
+		n.signal(in.Op, leaves)
+	case StreamBegan:
+		n.signal(in.Op, began)
+	case ListCame:
+		n.follow(in)
+	case Woken:
+		if in.Token == beatToken {
+			n.tick()
+		} else if p := int(in.Token&0xffff) - 1; p < len(n.ops) && n.ops[p].life == uint16(in.Token>>16) {
+			n.decide(&n.ops[p], due)
+		}
+	}
+	return n.effects
+}
+
+func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
+
+func (n *Node) signal(id OpID, on signal) {
+	if p, found := n.byOp[id]; found {
+		n.decide(&n.ops[p], on)
+	}
+}
+
+// decide reads the table.
+func (n *Node) decide(o *op, on signal) {
+	for i := range table {
+		if row := &table[i]; row.at == o.state && row.on == on && row.do(n, o) {
+			o.state = row.next
+			break
+		}
+	}
+	if o.state == over && o.out == 0 {
+		delete(n.byOp, o.id)
+		o.life++
+		n.free = append(n.free, o.place)
+	}
+}
+
+// take gives an arriving op a place in the slab.
+func (n *Node) take(in *Input) *op {
+	if len(n.free) == 0 {
+		n.ops = append(n.ops, op{place: uint16(len(n.ops))})
+		n.free = append(n.free, uint16(len(n.ops)-1))
+	}
+	p := n.free[len(n.free)-1]
+	n.free = n.free[:len(n.free)-1]
+	o, c := &n.ops[p], &n.kinds[in.Category]
+	*o = op{id: in.Op, category: in.Category, place: p, life: o.life}
+	n.byOp[in.Op] = p
+	benefit := c.Benefit * n.share(in.Tenant)
+	o.level = uint8(sortedAt(n.levels, benefit))
+	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
+	margin := 2 * n.place.Tick
+	o.goal = min(n.now+c.Target, in.NotAfter) - margin
+	o.last = in.NotAfter - margin
+	if c.harmless() || n.place.Tier > 0 {
+		o.last = o.goal // Danger: failing late; the client may still try elsewhere in time
+	}
+	return o
+}
+
+// share is 1, or what is left of an op's benefit beyond its tenant's share. The quota is over all
+// nodes; this one takes an even part of it as its own.
+func (n *Node) share(t TenantID) float64 {
+	if int(t) >= len(n.used) || n.place.Tier > 0 {
+		return 1
+	}
+	n.used[t].add(n.now)
+	if n.used[t].read(n.now) > n.shares.Quota[t]/float64(n.place.Nodes) {
+		return n.shares.Beyond
+	}
+	return 1
+}
+
+// push sends the op, or sends it again where its category, its benefit and the time allow.
+func (n *Node) push(o *op) bool {
+	c, took := &n.kinds[o.category], &n.took[o.category]
+	again := o.pushes > 0
+	switch {
+	case o.pushes >= o.allowed, n.now+Micros(max(0, took.mean-took.dev)) > o.goal:
+		return false
+	case o.risk == 0:
+	case c.Repeat == AtMostOnce, c.Repeat == Deduplicated && n.now >= o.risk+c.Window-n.place.Tick:
+		return false
+	}
+	// Danger: further pushes that add work feed the overload that made them; the highest benefit
+	// may use up what is saved, others leave half of it.
+	spare := 1.0
+	if int(o.level) < len(n.levels)-1 {
+		spare = againMost / 2
+	}
+	if o.risk > 0 && n.again < spare {
+		return false
+	}
+	s := n.pick(o)
+	if s < 0 {
+		return false
+	}
+	wait := o.last - n.now
+	if o.pushes+1 < o.allowed && c.Repeat != AtMostOnce {
+		wait = min(wait, max(Micros(took.mean+4*took.dev), n.rule.Dial))
+	}
+	switch {
+	case o.risk > 0:
+		n.again--
+	case !again:
+		n.again = min(againMost, n.again+againShare)
+		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
+	}
+	n.servers[s].held++
+	n.servers[s].accepted.add(n.now)
+	o.to[o.pushes], o.sent[o.pushes] = s, n.now
+	o.pushes++
+	o.out++
+	n.emit(Effect{Kind: Push, Op: o.id, Server: n.servers[s].Server, For: max(1, wait)})
+	return true
+}
+
+// pick is smooth weighted round robin over the servers that may take the op, in order of turn,
+// until a bucket admits it; -1 where none does.
+func (n *Node) pick(o *op) int32 {
+	held, up := 0, 0
+	for i := range n.servers {
+		if s := &n.servers[i]; s.State == Ready && s.down <= n.now {
+			held += s.held
+			up++
+		}
+	}
+	anyway := up == 0 // Danger: all look dead; one of them may be back
+	mean := float64(held) / float64(max(1, up))
+	most := min(2*mean, mean+2)
+	total := 0.0
+	n.round++
+	for i := range n.servers {
+		s := &n.servers[i]
+		if !n.may(o, int32(i), most, anyway) {
+			s.tried = n.round
+			continue
+		}
+		weight := s.Weight * s.warmth(n.now, &n.cold)
+		s.turn += weight
+		total += weight
+	}
+	for {
+		best := int32(-1)
+		for i := range n.servers {
+			if n.servers[i].tried != n.round && (best < 0 || n.servers[i].turn > n.servers[best].turn) {
+				best = int32(i)
+			}
+		}
+		if best < 0 {
+			return -1
+		}
+		s := &n.servers[best]
+		if s.admit(n.now, o.level) {
+			s.turn -= total
+			return best
+		}
+		s.tried, s.turn = n.round, min(s.turn, total)
+	}
+}
+
+// may says whether a server is in the rotation for the op.
+func (n *Node) may(o *op, i int32, most float64, anyway bool) bool {
+	s := &n.servers[i]
+	if s.State != Ready || float64(s.held) > most {
+		return false
+	}
+	if !anyway && (s.down > n.now || s.failures > 0 && s.held > 0) {
+		return false
+	}
+	// Danger: a cold server is pushed over by all nodes together, also when all servers are cold.
+	if w := s.warmth(n.now, &n.cold); w < 1 && float64(s.held) >= max(1, most*w) {
+		return false
+	}
+	if o.risk > 0 && n.kinds[o.category].Repeat == Deduplicated {
+		return n.sameGroup(n.kinds[o.category].Scope, o.group, i)
+	}
+	return true
+}
+
+func (n *Node) sameGroup(scope Scope, a, b int32) bool {
+	x, y := &n.servers[a], &n.servers[b]
+	switch scope {
+	case ScopeZone:
+		return x.Zone == y.Zone
+	case ScopeCell:
+		return x.Cell == y.Cell
+	}
+	return true
+}
+
+// nack answers that a new try does no harm, where that is true.
+func (n *Node) nack(o *op) bool {
+	if (o.risk > 0 || o.out > 0) && !n.kinds[o.category].harmless() {
+		return false
+	}
+	advice := Micros(0)
+	if n.now+n.place.Tick >= o.goal {
+		advice = n.rule.RetryAfter
+	}
+	n.emit(Effect{Kind: Nack, Op: o.id, For: advice})
+	return n.drop(o)
+}
+
+func (n *Node) deadLetter(o *op) bool {
+	n.emit(Effect{Kind: DeadLetter, Op: o.id})
+	return n.drop(o)
+}
+
+// drop calls back what is still out: nobody waits for it.
+func (n *Node) drop(o *op) bool {
+	for p := uint8(0); p < o.pushes && n.rule.Cancel && o.out > 0; p++ {
+		if o.to[p] >= 0 {
+			n.emit(Effect{Kind: Cancel, Op: o.id, Push: PushNo(p)})
+		}
+	}
+	return true
+}
+
+func (n *Node) keep(*op) bool { return true }
+
+// ended learns from the end of a push and decides on its op.
+func (n *Node) ended(in *Input) {
+	p, found := n.byOp[in.Op]
+	if !found || in.Push >= PushNo(n.ops[p].pushes) || n.ops[p].to[in.Push] < 0 {
+		return
+	}
+	o := &n.ops[p]
+	i := o.to[in.Push]
+	s, c := &n.servers[i], &n.kinds[o.category]
+	o.to[in.Push] = -1
+	o.out--
+	s.held--
+	if in.Outcome == Acked || in.Outcome == Errored {
+		n.errors += (number(in.Outcome == Errored) - n.errors) / (4 * shareMemory)
+	}
+	if in.Outcome == Acked {
+		n.took[o.category].learn(in.Took)
+	}
+	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors) {
+		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)})
+	}
+	on := signals[in.Outcome]
+	if on == mayHaveRun && o.risk == 0 {
+		o.risk, o.group = o.sent[in.Push], i
+	}
+	if in.Settled {
+		on = answered
+	}
+	n.decide(o, on)
+}
+
+// aim is the target latency of a push: a tier further down has as much less time.
+func (n *Node) aim(c *Category) Micros {
+	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(n.place.Tiers)
+}
+
+// tick steers every throttle and keeps the registry's subscription.
+func (n *Node) tick() {
+	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
+	for i := range n.servers {
+		if s := &n.servers[i]; s.steer(n.now) {
+			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
+				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
+		}
+	}
+	if r := &n.registry; r.next > 0 && n.now >= r.next {
+		r.next = n.now + r.Within
+		n.emit(Effect{Kind: Watch})
+	}
+}
+
+// follow takes over a list of servers.
+func (n *Node) follow(in *Input) {
+	n.registry.heard(n.now, in.Form, n.rng)
+	if in.Form == ListWhole || in.Form == ListCached {
+		for i := range n.servers {
+			if !slices.ContainsFunc(in.List, func(e Entry) bool { return e.Server == n.servers[i].Server }) {
+				n.servers[i].State = Gone
+			}
+		}
+	}
+	for _, e := range in.List {
+		i, found := n.byID[e.Server]
+		if !found {
+			i = int32(len(n.servers))
+			n.byID[e.Server] = i
+			n.servers = append(n.servers, server{})
+		}
+		s := &n.servers[i]
+		if !found || e.Started != s.Started {
+			interval := leakTicks * n.place.Tick
+			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{top: uint8(len(n.levels) - 1), interval: interval}}
+		}
+		if e.Weight <= 0 {
+			e.Weight = 1
+		}
+		s.Entry = e
+	}
+}
+
+// harmless says that a client's new try never does harm, whatever ran.
+func (c *Category) harmless() bool {
+	return c.Repeat == Redeliverable || c.Repeat == Deduplicated && c.Scope == ScopeAll
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// sortedAt is the place of x among ascending levels.
+func sortedAt(levels []float64, x float64) int {
+	i, _ := slices.BinarySearch(levels, x)
+	return min(i, len(levels)-1)
+}
--- /dev/null
+++ b/policy/types.go
@@ -0,0 +1,194 @@
+package policy
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+const (
+	Millisecond Micros = 1000
+	Second             = 1000 * Millisecond
+)
+
+// Each kind of id is a type of its own; none of them carries information.
+type (
+	OpID       uint32
+	ServerID   uint64
+	CategoryID uint8
+	TenantID   uint16
+	ZoneID     uint8
+	KindID     uint8
+	CellID     uint16
+	PushNo     uint8
+	Token      uint32
+)
+
+// Effect of a repeat of an op.
+type Repeat uint8
+
+const (
+	Redeliverable Repeat = iota // may run again
+	Deduplicated                // a repeat is dropped inside the group, for a while
+	AtMostOnce                  // must never run twice
+)
+
+// Scope is the group of servers that drop a deduplicated op's repeats.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Category is one kind of op.
+type Category struct {
+	Benefit float64
+	Target  Micros // target latency
+	TTL     Micros
+	Repeat  Repeat
+	Scope   Scope
+	Window  Micros // how long the group remembers an op
+}
+
+// Place says where this node stands: the tier it sends to, of how many, and how many nodes do so.
+type Place struct {
+	Tier, Tiers int
+	Nodes       int
+	Zone        ZoneID
+	Tick        Micros // the least time between two inputs' clocks
+}
+
+// PushRule holds what is allowed to pushes.
+type PushRule struct {
+	Max        int // pushes an op may have
+	Duplicate  bool
+	Cancel     bool
+	Dial       Micros // a connection not open within this time has failed
+	RetryAfter Micros // the longest that a client heeds; 0 where clients take no advice
+}
+
+// ColdRule holds the rule on servers that have just started.
+type ColdRule struct {
+	From   float64 // least share of its capacity that a server starts with
+	Warm   Micros  // warm after this at the latest
+	Factor float64 // it falls over when sent more than this multiple of its present capacity
+	Window Micros  // for this long
+}
+
+// RegistryRule says how the list of servers is followed.
+type RegistryRule struct {
+	Ask    bool   // changes come only to those who ask
+	Within Micros // a node that has not asked for this long counts as told
+}
+
+// ShareRule holds what each tenant may ask for, in ops a second over all nodes.
+type ShareRule struct {
+	Quota  []float64
+	Beyond float64 // what an op beyond the share is worth, as a share of its benefit
+}
+
+// ServerState is what the list says of a server.
+type ServerState uint8
+
+const (
+	Ready ServerState = iota
+	Draining
+	Gone
+)
+
+// Entry is one line of the list of servers. With xDS it is one endpoint, Cell its locality's cluster.
+type Entry struct {
+	Server  ServerID
+	Started Micros // 0: long ago
+	Weight  float64
+	Cell    CellID
+	Kind    KindID
+	Zone    ZoneID
+	State   ServerState
+}
+
+// ListForm says what a list holds.
+type ListForm uint8
+
+const (
+	ListChanges ListForm = iota
+	ListWhole
+	ListCached // whole, but old
+	ListFailed // a call to the registry failed, or the subscription broke
+)
+
+// Outcome is how a push ended.
+type Outcome uint8
+
+const (
+	Acked Outcome = iota
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// InputKind says which fields of an Input count.
+type InputKind uint8
+
+const (
+	OpArrived   InputKind = iota // Op, Category, Tenant, NotAfter, Repeated
+	PushEnded                    // Op, Push, Server, Outcome, Took, Settled
+	OpAbandoned                  // Op
+	StreamBegan                  // Op
+	Woken                        // Token
+	ProbeEnded                   // Server, Outcome, Took
+	ListCame                     // Form, List
+)
+
+// Input is one thing that a node sees.
+type Input struct {
+	Kind     InputKind
+	Op       OpID
+	Category CategoryID
+	Tenant   TenantID
+	NotAfter Micros // when the client gives up this try
+	Repeated bool   // the client says that this is not its first try
+	Server   ServerID
+	Push     PushNo
+	Outcome  Outcome
+	Took     Micros
+	Settled  bool // the op is over, by this outcome or earlier
+	Token    Token
+	Form     ListForm
+	List     []Entry // read during the call only
+}
+
+// EffectKind says which fields of an Effect count.
+type EffectKind uint8
+
+const (
+	Push       EffectKind = iota // Op, Server, For (time-out; 0: until the client gives up)
+	Nack                         // Op, For (when to come back; 0: no advice)
+	DeadLetter                   // Op
+	Cancel                       // Op, Push
+	Wake                         // At, Token
+	Watch                        // subscribe to the registry's changes
+	Log                          // Text
+)
+
+// Effect is one thing that a node does.
+type Effect struct {
+	Kind   EffectKind
+	Op     OpID
+	Server ServerID
+	Push   PushNo
+	For    Micros
+	At     Micros
+	Token  Token
+	Text   string
+}
+
+// Decider is what a protocol calls, whichever it is: the simulator's wire, an external processor
+// called per op, or HL7 over MLLP. It turns its frames into Inputs and carries out the Effects.
+// The slice returned is valid until the next call.
+type Decider interface {
+	Step(now Micros, in *Input) []Effect
+}
