--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,8 @@
 	tightest    = 1.0 / 16    // lowest rate, likewise
 	stepDown    = 1.0 / 16    // the rate falls by this for each multiple of the target too much
 	stepUp      = 1.0 / 4     // and rises by up to this a step
-	slowShare   = 1.0 / 8     // slow answers are marks while more than this share is slow
+	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
+	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
@@ -161,7 +162,7 @@
 		// Danger: a server that fails fast holds little and is fed by the rotation (sinkhole).
 		if s.errors > sinkhole && s.errors > 2*common {
 			s.fail(now, dial)
-		} else if common > slowShare {
+		} else if common > errorShare {
 			// Danger: errors from everywhere come from the tier below being full; this tier's work
 			// for them is lost, so they count as marks.
 			return s.mark(now)
@@ -600,7 +601,7 @@
 	if in.Outcome == Acked || in.Outcome == Errored {
 		n.errors += (number(in.Outcome == Errored) - n.errors) / (4 * shareMemory)
 	}
-	if in.Outcome == Acked {
+	if in.Outcome == Acked || in.Outcome == TimedOut {
 		n.took[o.category].learn(in.Took)
 	}
 	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors) {
