--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	fill        = 4 * splash  // MaximumFill
 	leakTicks   = 4           // LeakInterval, in ticks of the clock
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
-	tightest    = 1.0 / 16    // lowest rate, likewise
+	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 16    // the rate falls by this for each multiple of the target too much
 	stepUp      = 1.0 / 4     // and rises by up to this a step
 	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
@@ -131,6 +131,7 @@
 	throttle
 	held     int     // pushes out
 	turn     float64 // of the weighted rotation
+	acks     rate
 	errors   float64 // share of recent pushes that ended in an error
 	failures int     // in a row, without an answer
 	timeouts int     // in a row
@@ -328,6 +329,7 @@
 	byOp     map[OpID]uint16
 	errors   float64 // share of recent answers of all servers that are errors
 	again    float64 // further pushes saved up
+	carry    float64 // acks a second of a warm server, over a longer time
 	beating  bool
 	round    uint64 // of pick
 	effects  []Effect
@@ -535,8 +537,10 @@
 	if !anyway && (s.down > n.now || s.failures > 0 && s.held > 0) {
 		return false
 	}
-	// Danger: a cold server is pushed over by all nodes together, also when all servers are cold.
-	if w := s.warmth(n.now, &n.cold); w < 1 && float64(s.held) >= max(1, most*w) {
+	// Danger: a cold server is pushed over by all nodes together: as its like are full or under
+	// control, or as all servers are cold. Pushes that it turns away count too.
+	if w := s.warmth(n.now, &n.cold); w < 1 && (float64(s.held) >= max(1, most*w) ||
+		n.carry > 0 && s.accepted.read(n.now) > max(target, w*n.carry*n.cold.Factor/2)) {
 		return false
 	}
 	if o.risk > 0 && n.kinds[o.category].Repeat == Deduplicated {
@@ -601,6 +605,9 @@
 	if in.Outcome == Acked || in.Outcome == Errored {
 		n.errors += (number(in.Outcome == Errored) - n.errors) / (4 * shareMemory)
 	}
+	if in.Outcome == Acked {
+		s.acks.add(n.now)
+	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
 		n.took[o.category].learn(in.Took)
 	}
@@ -625,12 +632,21 @@
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
 	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
+	acks, warm := 0.0, 0.0
 	for i := range n.servers {
-		if s := &n.servers[i]; s.steer(n.now) {
+		s := &n.servers[i]
+		if s.State == Ready && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
+			acks += s.acks.read(n.now)
+			warm++
+		}
+		if s.steer(n.now) {
 			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
 				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
 		}
 	}
+	if warm > 0 {
+		n.carry += (acks/warm - n.carry) * float64(beat) / float64(endAfter)
+	}
 	if r := &n.registry; r.next > 0 && n.now >= r.next {
 		r.next = n.now + r.Within
 		n.emit(Effect{Kind: Watch})
