--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,7 +23,7 @@
 	leakTicks   = 4           // LeakInterval, in ticks of the clock
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
-	stepDown    = 1.0 / 16    // the rate falls by this for each multiple of the target too much
+	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
 	stepUp      = 1.0 / 4     // and rises by up to this a step
 	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
@@ -56,7 +56,7 @@
 	marks, accepted   rate
 	slow              float64 // share of recent answers past target latency
 	on                bool
-	cut, top          uint8
+	cut               int
 	interval          Micros // LeakInterval
 	count, leak       float64
 	high, low         float64 // bounds of LeakAmount
@@ -65,22 +65,41 @@
 	offered, rejected int
 }
 
-// mark counts an overload mark, and starts control where their rate passes the target (8.2.1).
-func (t *throttle) mark(now Micros) (started bool) {
+// mark counts an overload mark, and starts control where their rate passes the target (8.2.1): at
+// the lowest level of benefit that is asked for, and the rate lately accepted there. asked holds
+// the ops of each level that ask for one server in a LeakInterval.
+func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
 	t.quiet = now
 	if t.on || t.marks.read(now) <= target {
 		return false
 	}
-	per := float64(t.interval) / float64(Second)
-	recent := max(t.accepted.read(now), 2*target) * per
-	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, top: t.top, interval: t.interval,
-		count: fill, leak: recent, high: recent * loosest, low: recent * tightest, leaked: now, quiet: now, since: now}
+	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, interval: t.interval,
+		cut: -1, leaked: now, quiet: now, since: now}
+	recent := max(t.accepted.read(now), 2*target) * float64(t.interval) / float64(Second)
+	t.high, t.low = recent*loosest, recent*tightest
+	t.moveCut(1, asked)
+	t.leak = recent
 	return true
 }
 
+// moveCut moves the cut to the next level that is asked for, if there is one, with the count full.
+func (t *throttle) moveCut(by int, asked []float64) {
+	cut := t.cut + by
+	for cut >= 0 && cut < len(asked)-1 && asked[cut] == 0 {
+		cut += by
+	}
+	if cut < 0 || cut >= len(asked) {
+		return
+	}
+	t.cut, t.count, t.leak = cut, fill, t.high
+	if by < 0 {
+		t.leak = t.low
+	}
+}
+
 // admit passes an op by its benefit's level and, at the cut, by the type 3 bucket (8.2.2, 8.2.5).
-func (t *throttle) admit(now Micros, level uint8) bool {
+func (t *throttle) admit(now Micros, level int) bool {
 	if !t.on {
 		return true
 	}
@@ -103,7 +122,7 @@
 
 // steer moves LeakAmount, faster the further marks are off target, then the cut (8.2.3, 8.2.5).
 // It ends control after endAfter with no mark and no rejection (8.2.4).
-func (t *throttle) steer(now Micros) (ended bool) {
+func (t *throttle) steer(now Micros, asked []float64) (ended bool) {
 	if !t.on {
 		return false
 	}
@@ -115,12 +134,12 @@
 	switch {
 	case off > 1 && t.leak > t.low:
 		t.leak = max(t.low, t.leak*max(0.5, 1-stepDown*(off-1)))
-	case off > 1 && t.cut < t.top:
-		t.cut, t.count, t.leak = t.cut+1, fill, t.high
+	case off > 1:
+		t.moveCut(1, asked)
 	case off < 1 && t.leak < t.high:
 		t.leak = min(t.high, t.leak*(1+stepUp*(1-off)))
-	case off < 1 && t.cut > 0:
-		t.cut, t.count, t.leak = t.cut-1, fill, t.low
+	case off < 1:
+		t.moveCut(-1, asked)
 	}
 	return false
 }
@@ -140,7 +159,7 @@
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64) (started bool) {
+func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64, asked []float64) bool {
 	error := how == Errored
 	if how == Acked || error {
 		s.errors += (number(error) - s.errors) / shareMemory
@@ -149,14 +168,14 @@
 	case Acked:
 		s.failures, s.timeouts = 0, 0
 		s.slow += (number(slow) - s.slow) / shareMemory
-		return slow && s.slow > slowShare && s.mark(now)
+		return slow && s.slow > slowShare && s.mark(now, asked)
 	case Full:
-		return s.mark(now)
+		return s.mark(now, asked)
 	case TimedOut:
 		if s.timeouts++; s.timeouts > 2 {
 			s.fail(now, dial)
 		}
-		return s.mark(now)
+		return s.mark(now, asked)
 	case ConnectFailed, Reset:
 		s.fail(now, dial)
 	case Errored:
@@ -166,7 +185,7 @@
 		} else if common > errorShare {
 			// Danger: errors from everywhere come from the tier below being full; this tier's work
 			// for them is lost, so they count as marks.
-			return s.mark(now)
+			return s.mark(now, asked)
 		}
 	}
 	return false
@@ -294,7 +313,8 @@
 type op struct {
 	id       OpID
 	category CategoryID
-	level    uint8
+	tenant   TenantID
+	level    int
 	state    state
 	pushes   uint8 // made
 	allowed  uint8 // by benefit
@@ -311,28 +331,30 @@
 
 // Node decides for one balancer.
 type Node struct {
-	now      Micros
-	rng      *rand.Rand
-	place    Place
-	rule     PushRule
-	cold     ColdRule
-	registry registry
-	kinds    []Category
-	levels   []float64 // distinct benefits, ascending
-	shares   ShareRule
-	used     []rate // ops a second of each tenant
-	took     []answers
-	servers  []server
-	byID     map[ServerID]int32
-	ops      []op
-	free     []uint16
-	byOp     map[OpID]uint16
-	errors   float64 // share of recent answers of all servers that are errors
-	again    float64 // further pushes saved up
-	carry    float64 // acks a second of a warm server, over a longer time
-	beating  bool
-	round    uint64 // of pick
-	effects  []Effect
+	now       Micros
+	rng       *rand.Rand
+	place     Place
+	rule      PushRule
+	cold      ColdRule
+	registry  registry
+	kinds     []Category
+	levels    []float64 // distinct benefits, ascending
+	offered   []rate    // ops a second at each level
+	asked     []float64 // of them, for one server in a LeakInterval
+	shares    ShareRule
+	allowance []tokens // of each tenant
+	took      []answers
+	servers   []server
+	byID      map[ServerID]int32
+	ops       []op
+	free      []uint16
+	byOp      map[OpID]uint16
+	errors    float64 // share of recent answers of all servers that are errors
+	again     float64 // further pushes saved up
+	carry     float64 // acks a second of a warm server, over a longer time
+	beating   bool
+	round     uint64 // of pick
+	effects   []Effect
 }
 
 // New starts a node that knows no server yet.
@@ -340,7 +362,7 @@
 	reg RegistryRule) *Node {
 	rule.Max = min(rule.Max, mostPushes)
 	n := &Node{rng: rand.New(rand.NewSource(seed)), place: place, rule: rule, cold: cold, kinds: kinds,
-		registry: registry{RegistryRule: reg}, shares: shares, used: make([]rate, len(shares.Quota)),
+		registry: registry{RegistryRule: reg}, shares: shares, allowance: make([]tokens, len(shares.Quota)),
 		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{}, again: againMost}
 	for _, c := range kinds {
 		n.levels = append(n.levels, c.Benefit)
@@ -350,6 +372,7 @@
 	}
 	slices.Sort(n.levels)
 	n.levels = slices.Compact(n.levels)
+	n.offered, n.asked = make([]rate, len(n.levels)), make([]float64, len(n.levels))
 	return n
 }
 
@@ -413,10 +436,11 @@
 	p := n.free[len(n.free)-1]
 	n.free = n.free[:len(n.free)-1]
 	o, c := &n.ops[p], &n.kinds[in.Category]
-	*o = op{id: in.Op, category: in.Category, place: p, life: o.life}
+	*o = op{id: in.Op, category: in.Category, tenant: in.Tenant, place: p, life: o.life}
 	n.byOp[in.Op] = p
 	benefit := c.Benefit * n.share(in.Tenant)
-	o.level = uint8(sortedAt(n.levels, benefit))
+	o.level = sortedAt(n.levels, benefit)
+	n.offered[o.level].add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	margin := 2 * n.place.Tick
 	o.goal = min(n.now+c.Target, in.NotAfter) - margin
@@ -427,14 +451,24 @@
 	return o
 }
 
+// tokens are the ops left to a tenant inside its share.
+type tokens struct {
+	left float64
+	at   Micros
+}
+
 // share is 1, or what is left of an op's benefit beyond its tenant's share. The quota is over all
-// nodes; this one takes an even part of it as its own.
+// nodes; this one holds an even part of it. Danger: a tenant whose ops are nacked asks again, and
+// would seem beyond its share; so only ops that are pushed use it up.
 func (n *Node) share(t TenantID) float64 {
-	if int(t) >= len(n.used) || n.place.Tier > 0 {
+	if int(t) >= len(n.allowance) || n.place.Tier > 0 {
 		return 1
 	}
-	n.used[t].add(n.now)
-	if n.used[t].read(n.now) > n.shares.Quota[t]/float64(n.place.Nodes) {
+	quota := n.shares.Quota[t] / float64(n.place.Nodes)
+	a := &n.allowance[t]
+	a.left = min(quota, a.left+quota*float64(n.now-a.at)/float64(Second))
+	a.at = n.now
+	if a.left < 1 {
 		return n.shares.Beyond
 	}
 	return 1
@@ -454,7 +488,7 @@
 	// Danger: further pushes that add work feed the overload that made them; the highest benefit
 	// may use up what is saved, others leave half of it.
 	spare := 1.0
-	if int(o.level) < len(n.levels)-1 {
+	if o.level < len(n.levels)-1 {
 		spare = againMost / 2
 	}
 	if o.risk > 0 && n.again < spare {
@@ -473,6 +507,10 @@
 		n.again--
 	case !again:
 		n.again = min(againMost, n.again+againShare)
+		if int(o.tenant) < len(n.allowance) {
+			a := &n.allowance[o.tenant]
+			a.left = max(0, a.left-1)
+		}
 		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
 	}
 	n.servers[s].held++
@@ -611,7 +649,7 @@
 	if in.Outcome == Acked || in.Outcome == TimedOut {
 		n.took[o.category].learn(in.Took)
 	}
-	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors) {
+	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
 		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)})
 	}
 	on := signals[in.Outcome]
@@ -632,6 +670,13 @@
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
 	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
+	up := 0.0
+	for i := range n.servers {
+		up += number(n.servers[i].State == Ready && n.servers[i].down <= n.now)
+	}
+	for l := range n.asked {
+		n.asked[l] = n.offered[l].read(n.now) / max(1, up) * float64(leakTicks*n.place.Tick) / float64(Second)
+	}
 	acks, warm := 0.0, 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
@@ -639,7 +684,7 @@
 			acks += s.acks.read(n.now)
 			warm++
 		}
-		if s.steer(n.now) {
+		if s.steer(n.now, n.asked) {
 			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
 				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
 		}
@@ -673,7 +718,7 @@
 		s := &n.servers[i]
 		if !found || e.Started != s.Started {
 			interval := leakTicks * n.place.Tick
-			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{top: uint8(len(n.levels) - 1), interval: interval}}
+			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{interval: interval}}
 		}
 		if e.Weight <= 0 {
 			e.Weight = 1
