--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand"
@@ -29,6 +30,7 @@
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
+	fewPushes   = 2           // servers a node keeps to where connections are priced, for each push allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 	againMost   = 16          // and how many may be saved up
 	mostPushes  = 8           // places for an op's pushes
@@ -155,6 +157,7 @@
 	failures int     // in a row, without an answer
 	timeouts int     // in a row
 	down     Micros  // no push before this
+	far      bool    // not in this node's rotation
 	tried    uint64  // the round of pick that passed it over
 }
 
@@ -234,10 +237,6 @@
 type answers struct{ mean, dev float64 }
 
 func (a *answers) learn(took Micros) {
-	if a.mean == 0 {
-		a.mean, a.dev = float64(took), float64(took)/2
-		return
-	}
 	off := float64(took) - a.mean
 	a.mean += off / shareMemory
 	a.dev += (math.Abs(off) - a.dev) / shareMemory
@@ -364,7 +363,10 @@
 	n := &Node{rng: rand.New(rand.NewSource(seed)), place: place, rule: rule, cold: cold, kinds: kinds,
 		registry: registry{RegistryRule: reg}, shares: shares, allowance: make([]tokens, len(shares.Quota)),
 		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{}, again: againMost}
-	for _, c := range kinds {
+	for i, c := range kinds {
+		// Danger: the first answers to come are the quick ones; time-outs taken from them alone
+		// would cut off the rest.
+		n.took[i] = answers{mean: float64(n.aim(&c)) / 4, dev: float64(n.aim(&c)) / 4}
 		n.levels = append(n.levels, c.Benefit)
 		if len(shares.Quota) > 0 {
 			n.levels = append(n.levels, c.Benefit*shares.Beyond)
@@ -527,7 +529,7 @@
 func (n *Node) pick(o *op) int32 {
 	held, up := 0, 0
 	for i := range n.servers {
-		if s := &n.servers[i]; s.State == Ready && s.down <= n.now {
+		if s := &n.servers[i]; !s.far && s.down <= n.now {
 			held += s.held
 			up++
 		}
@@ -569,7 +571,7 @@
 // may says whether a server is in the rotation for the op.
 func (n *Node) may(o *op, i int32, most float64, anyway bool) bool {
 	s := &n.servers[i]
-	if s.State != Ready || float64(s.held) > most {
+	if s.far || float64(s.held) > most {
 		return false
 	}
 	if !anyway && (s.down > n.now || s.failures > 0 && s.held > 0) {
@@ -672,7 +674,7 @@
 	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
 	up := 0.0
 	for i := range n.servers {
-		up += number(n.servers[i].State == Ready && n.servers[i].down <= n.now)
+		up += number(!n.servers[i].far && n.servers[i].down <= n.now)
 	}
 	for l := range n.asked {
 		n.asked[l] = n.offered[l].read(n.now) / max(1, up) * float64(leakTicks*n.place.Tick) / float64(Second)
@@ -680,7 +682,7 @@
 	acks, warm := 0.0, 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
-		if s.State == Ready && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
+		if !s.far && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
 			acks += s.acks.read(n.now)
 			warm++
 		}
@@ -725,6 +727,28 @@
 		}
 		s.Entry = e
 	}
+	n.choose()
+}
+
+// choose limits the rotation to some of the servers where open connections have a price, and there
+// are many. Danger: connections from every node fill a server's table, take its capacity, and
+// those beyond its cap fail. Each node takes its run of the ids in order, so that all are used alike.
+func (n *Node) choose() {
+	var ready []int32
+	for i := range n.servers {
+		n.servers[i].far = n.servers[i].State != Ready
+		if !n.servers[i].far {
+			ready = append(ready, int32(i))
+		}
+	}
+	few := fewPushes * n.rule.Max
+	if !n.rule.Few || len(ready) <= few {
+		return
+	}
+	slices.SortFunc(ready, func(a, b int32) int { return cmp.Compare(n.servers[a].Server, n.servers[b].Server) })
+	for r, i := range ready {
+		n.servers[i].far = (r-n.place.Number*few%len(ready)+len(ready))%len(ready) >= few
+	}
 }
 
 // harmless says that a client's new try never does harm, whatever ran.
--- a/policy/types.go
+++ b/policy/types.go
@@ -53,6 +53,7 @@
 type Place struct {
 	Tier, Tiers int
 	Nodes       int
+	Number      int // of this node among them, from 0
 	Zone        ZoneID
 	Tick        Micros // the least time between two inputs' clocks
 }
@@ -64,6 +65,7 @@
 	Cancel     bool
 	Dial       Micros // a connection not open within this time has failed
 	RetryAfter Micros // the longest that a client heeds; 0 where clients take no advice
+	Few        bool   // open connections have a price
 }
 
 // ColdRule holds the rule on servers that have just started.
