--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,9 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
+	markMost    = 3.0         // multiple of the target past which marks count no more
 	stepUp      = 1.0 / 4     // and rises by up to this a step
-	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
+	slowShare   = 1.0 / 16     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
@@ -72,6 +73,9 @@
 // the ops of each level that ask for one server in a LeakInterval.
 func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
+	// Danger: after a heavy burst of marks their rate stays over the target long after the last one,
+	// and everything is refused meanwhile. Past markMost a step is no larger anyway.
+	t.marks.value = min(t.marks.value, markMost*target)
 	t.quiet = now
 	if t.on || t.marks.read(now) <= target {
 		return false
