--- a/policy/policy.go
+++ b/policy/policy.go
@@ -26,8 +26,9 @@
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
 	markMost    = 3.0         // multiple of the target past which marks count no more
+	slowPace    = 1.0         // answer time past which a server gets fewer turns, to its category's
 	stepUp      = 1.0 / 4     // and rises by up to this a step
-	slowShare   = 1.0 / 16     // slow answers are marks while more than this share is slow
+	slowShare   = 1.0 / 16    // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
@@ -157,6 +158,7 @@
 	held     int     // pushes out
 	turn     float64 // of the weighted rotation
 	acks     rate
+	pace     float64 // recent answer times, as a multiple of its category's
 	errors   float64 // share of recent pushes that ended in an error
 	failures int     // in a row, without an answer
 	timeouts int     // in a row
@@ -550,6 +552,9 @@
 			continue
 		}
 		weight := s.Weight * s.warmth(n.now, &n.cold)
+		if s.pace > slowPace {
+			weight /= s.pace * s.pace
+		}
 		s.turn += weight
 		total += weight
 	}
@@ -653,6 +658,7 @@
 		s.acks.add(n.now)
 	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
+		s.pace += (float64(in.Took)/n.took[o.category].mean - s.pace) / shareMemory
 		n.took[o.category].learn(in.Took)
 	}
 	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
