--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 	markMost    = 3.0         // multiple of the target past which marks count no more
 	slowPace    = 1.0         // answer time past which a server gets fewer turns, to its category's
 	stepUp      = 1.0 / 4     // and rises by up to this a step
-	slowShare   = 1.0 / 16    // slow answers are marks while more than this share is slow
+	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
@@ -676,7 +676,7 @@
 
 // aim is the target latency of a push: a tier further down has as much less time.
 func (n *Node) aim(c *Category) Micros {
-	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(n.place.Tiers)
+	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(n.place.Tiers+1)
 }
 
 // tick steers every throttle and keeps the registry's subscription.
