Shorter module: risk is the op's knowledge, not a state; types and memories have files of their own

The bound on the mark rate and the benefit order within the node's saved pushes did nothing measurable and are gone.

--- /dev/null
+++ b/policy/memory.go
@@ -0,0 +1,39 @@
+package policy
+
+import "math"
+
+// What a node remembers of what it saw. Nothing here decides.
+
+// rate is a number a second that forgets at the pace of one period.
+type rate struct {
+	value float64
+	at    Micros
+}
+
+func (r *rate) read(now Micros) float64 {
+	if now > r.at {
+		r.value *= math.Exp(-float64(now-r.at) / float64(period))
+		r.at = now
+	}
+	return r.value
+}
+
+func (r *rate) add(now Micros) { r.value = r.read(now) + float64(Second)/float64(period) }
+
+// answers is the recent answer time of a category.
+type answers struct{ mean, dev float64 }
+
+func (a *answers) learn(took Micros) {
+	learn(&a.dev, math.Abs(float64(took)-a.mean), shareMemory)
+	learn(&a.mean, float64(took), shareMemory)
+}
+
+// learn moves a recent mean towards x.
+func learn(mean *float64, x, memory float64) { *mean += (x - *mean) / memory }
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,6 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
-	markMost    = 3.0         // multiple of the target past which marks count no more
-	slowPace    = 1.0         // answer time past which a server gets fewer turns, to its category's
 	stepUp      = 1.0 / 4     // and rises by up to this a step
 	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
@@ -35,25 +33,9 @@
 	fewPushes   = 2           // servers a node keeps to where connections are priced, for each push allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 	againMost   = 16          // and how many may be saved up
-	mostPushes  = 8           // places for an op's pushes
-	beatToken   = Token(0)    // of the steering's timer; ops' tokens are never 0
-)
-
-// rate is a number a second that forgets at the pace of one period.
-type rate struct {
-	value float64
-	at    Micros
-}
-
-func (r *rate) read(now Micros) float64 {
-	if now > r.at {
-		r.value *= math.Exp(-float64(now-r.at) / float64(period))
-		r.at = now
-	}
-	return r.value
-}
 
-func (r *rate) add(now Micros) { r.value = r.read(now) + float64(Second)/float64(period) }
+	beatToken = Token(0) // of the steering's timer; ops' tokens are never 0
+)
 
 // throttle is the overload control towards one server (clause 8.2).
 type throttle struct {
@@ -74,9 +56,6 @@
 // the ops of each level that ask for one server in a LeakInterval.
 func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
-	// Danger: after a heavy burst of marks their rate stays over the target long after the last one,
-	// and everything is refused meanwhile. Past markMost a step is no larger anyway.
-	t.marks.value = min(t.marks.value, markMost*target)
 	t.quiet = now
 	if t.on || t.marks.read(now) <= target {
 		return false
@@ -155,28 +134,27 @@
 type server struct {
 	Entry
 	throttle
-	held     int     // pushes out
-	turn     float64 // of the weighted rotation
-	acks     rate
-	pace     float64 // recent answer times, as a multiple of its category's
-	errors   float64 // share of recent pushes that ended in an error
-	failures int     // in a row, without an answer
-	timeouts int     // in a row
-	down     Micros  // no push before this
-	far      bool    // not in this node's rotation
-	tried    uint64  // the round of pick that passed it over
+	held               int     // pushes out
+	turn               float64 // of the weighted rotation
+	acks               rate
+	pace               float64 // recent answer times, as a multiple of their categories'
+	errors             float64 // share of recent pushes that ended in an error
+	failures, timeouts int     // in a row
+	down               Micros  // no push before this
+	far                bool    // not in this node's rotation
+	tried              uint64  // the round of pick that passed it over
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64, asked []float64) bool {
-	error := how == Errored
-	if how == Acked || error {
-		s.errors += (number(error) - s.errors) / shareMemory
+func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64,
+	asked []float64) (started bool) {
+	if how == Acked || how == Errored {
+		learn(&s.errors, number(how == Errored), shareMemory)
 	}
 	switch how {
 	case Acked:
 		s.failures, s.timeouts = 0, 0
-		s.slow += (number(slow) - s.slow) / shareMemory
+		learn(&s.slow, number(slow), shareMemory)
 		return slow && s.slow > slowShare && s.mark(now, asked)
 	case Full:
 		return s.mark(now, asked)
@@ -239,39 +217,6 @@
 	}
 }
 
-// answers is the recent answer time of a category.
-type answers struct{ mean, dev float64 }
-
-func (a *answers) learn(took Micros) {
-	off := float64(took) - a.mean
-	a.mean += off / shareMemory
-	a.dev += (math.Abs(off) - a.dev) / shareMemory
-}
-
-// state of an op in hand.
-type state uint8
-
-const (
-	fresh     state = iota
-	out             // a push is out, no earlier one may have run
-	risked          // a push is out, an earlier one may have run
-	streaming       // the answer has begun and is the client's
-	over            // answered; pushes may still be out
-)
-
-// signal is an input as an op's state sees it.
-type signal uint8
-
-const (
-	arrives signal = iota
-	answered
-	neverRan
-	mayHaveRun
-	began
-	due
-	leaves
-)
-
 // table holds the decisions on an op. The first row of its state and signal whose effect can be
 // had is taken.
 var table = []struct {
@@ -282,30 +227,17 @@
 }{
 	{fresh, arrives, (*Node).push, out},
 	{fresh, arrives, (*Node).nack, over},
-
 	{out, answered, (*Node).drop, over},
 	{out, neverRan, (*Node).push, out},
 	{out, neverRan, (*Node).nack, over},
-	{out, mayHaveRun, (*Node).push, risked},
+	{out, neverRan, (*Node).deadLetter, over},
+	{out, mayHaveRun, (*Node).push, out},
 	{out, mayHaveRun, (*Node).nack, over},
 	{out, mayHaveRun, (*Node).deadLetter, over},
 	{out, due, (*Node).nack, over},
 	{out, due, (*Node).deadLetter, over},
-	{out, began, (*Node).keep, streaming},
+	{out, began, nil, streaming},
 	{out, leaves, (*Node).drop, over},
-
-	{risked, answered, (*Node).drop, over},
-	{risked, neverRan, (*Node).push, risked},
-	{risked, neverRan, (*Node).nack, over},
-	{risked, neverRan, (*Node).deadLetter, over},
-	{risked, mayHaveRun, (*Node).push, risked},
-	{risked, mayHaveRun, (*Node).nack, over},
-	{risked, mayHaveRun, (*Node).deadLetter, over},
-	{risked, due, (*Node).nack, over},
-	{risked, due, (*Node).deadLetter, over},
-	{risked, began, (*Node).keep, streaming},
-	{risked, leaves, (*Node).drop, over},
-
 	{streaming, answered, (*Node).drop, over},
 	{streaming, leaves, (*Node).drop, over},
 }
@@ -314,26 +246,6 @@
 var signals = [...]signal{Acked: answered, Errored: mayHaveRun, Full: neverRan, TimedOut: mayHaveRun,
 	ConnectFailed: neverRan, Reset: mayHaveRun, Cancelled: mayHaveRun, Moot: neverRan}
 
-// op is an op in hand. It keeps its place in the slab until its last push has ended.
-type op struct {
-	id       OpID
-	category CategoryID
-	tenant   TenantID
-	level    int
-	state    state
-	pushes   uint8 // made
-	allowed  uint8 // by benefit
-	out      uint8 // pushes still out
-	place    uint16
-	life     uint16            // of the place, so that an earlier op's timer does not fire on this one
-	goal     Micros            // an answer later than this is worth nothing
-	last     Micros            // answered by then
-	risk     Micros            // send time of the first push that may have run; 0: none
-	group    int32             // its server
-	to       [mostPushes]int32 // server of each push still out, or -1
-	sent     [mostPushes]Micros
-}
-
 // Node decides for one balancer.
 type Node struct {
 	now       Micros
@@ -343,12 +255,12 @@
 	cold      ColdRule
 	registry  registry
 	kinds     []Category
+	took      []answers // by category
 	levels    []float64 // distinct benefits, ascending
 	offered   []rate    // ops a second at each level
 	asked     []float64 // of them, for one server in a LeakInterval
 	shares    ShareRule
-	allowance []tokens // of each tenant
-	took      []answers
+	allowance []tokens // by tenant
 	servers   []server
 	byID      map[ServerID]int32
 	ops       []op
@@ -357,8 +269,8 @@
 	errors    float64 // share of recent answers of all servers that are errors
 	again     float64 // further pushes saved up
 	carry     float64 // acks a second of a warm server, over a longer time
+	round     uint64  // of pick
 	beating   bool
-	round     uint64 // of pick
 	effects   []Effect
 }
 
@@ -414,6 +326,10 @@
 
 func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
 
+func (n *Node) log(format string, args ...any) {
+	n.emit(Effect{Kind: Log, Text: fmt.Sprintf(format, args...)})
+}
+
 func (n *Node) signal(id OpID, on signal) {
 	if p, found := n.byOp[id]; found {
 		n.decide(&n.ops[p], on)
@@ -423,7 +339,7 @@
 // decide reads the table.
 func (n *Node) decide(o *op, on signal) {
 	for i := range table {
-		if row := &table[i]; row.at == o.state && row.on == on && row.do(n, o) {
+		if row := &table[i]; row.at == o.state && row.on == on && (row.do == nil || row.do(n, o)) {
 			o.state = row.next
 			break
 		}
@@ -438,8 +354,8 @@
 // take gives an arriving op a place in the slab.
 func (n *Node) take(in *Input) *op {
 	if len(n.free) == 0 {
-		n.ops = append(n.ops, op{place: uint16(len(n.ops))})
-		n.free = append(n.free, uint16(len(n.ops)-1))
+		n.free = append(n.free, uint16(len(n.ops)))
+		n.ops = append(n.ops, op{})
 	}
 	p := n.free[len(n.free)-1]
 	n.free = n.free[:len(n.free)-1]
@@ -447,24 +363,17 @@
 	*o = op{id: in.Op, category: in.Category, tenant: in.Tenant, place: p, life: o.life}
 	n.byOp[in.Op] = p
 	benefit := c.Benefit * n.share(in.Tenant)
-	o.level = sortedAt(n.levels, benefit)
+	o.level, _ = slices.BinarySearch(n.levels, benefit)
 	n.offered[o.level].add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
-	margin := 2 * n.place.Tick
-	o.goal = min(n.now+c.Target, in.NotAfter) - margin
-	o.last = in.NotAfter - margin
+	o.last = in.NotAfter - 2*n.place.Tick
+	o.goal = min(n.now+c.Target-2*n.place.Tick, o.last)
 	if c.harmless() || n.place.Tier > 0 {
 		o.last = o.goal // Danger: failing late; the client may still try elsewhere in time
 	}
 	return o
 }
 
-// tokens are the ops left to a tenant inside its share.
-type tokens struct {
-	left float64
-	at   Micros
-}
-
 // share is 1, or what is left of an op's benefit beyond its tenant's share. The quota is over all
 // nodes; this one holds an even part of it. Danger: a tenant whose ops are nacked asks again, and
 // would seem beyond its share; so only ops that are pushed use it up.
@@ -485,7 +394,6 @@
 // push sends the op, or sends it again where its category, its benefit and the time allow.
 func (n *Node) push(o *op) bool {
 	c, took := &n.kinds[o.category], &n.took[o.category]
-	again := o.pushes > 0
 	switch {
 	case o.pushes >= o.allowed, n.now+Micros(max(0, took.mean-took.dev)) > o.goal:
 		return false
@@ -493,19 +401,15 @@
 	case c.Repeat == AtMostOnce, c.Repeat == Deduplicated && n.now >= o.risk+c.Window-n.place.Tick:
 		return false
 	}
-	// Danger: further pushes that add work feed the overload that made them; the highest benefit
-	// may use up what is saved, others leave half of it.
-	spare := 1.0
-	if o.level < len(n.levels)-1 {
-		spare = againMost / 2
-	}
-	if o.risk > 0 && n.again < spare {
+	// Danger: further pushes that add work feed the overload that made them.
+	if o.risk > 0 && n.again < 1 {
 		return false
 	}
-	s := n.pick(o)
-	if s < 0 {
+	i := n.pick(o)
+	if i < 0 {
 		return false
 	}
+	s := &n.servers[i]
 	wait := o.last - n.now
 	if o.pushes+1 < o.allowed && c.Repeat != AtMostOnce {
 		wait = min(wait, max(Micros(took.mean+4*took.dev), n.rule.Dial))
@@ -513,20 +417,19 @@
 	switch {
 	case o.risk > 0:
 		n.again--
-	case !again:
+	case o.pushes == 0:
 		n.again = min(againMost, n.again+againShare)
 		if int(o.tenant) < len(n.allowance) {
-			a := &n.allowance[o.tenant]
-			a.left = max(0, a.left-1)
+			n.allowance[o.tenant].left = max(0, n.allowance[o.tenant].left-1)
 		}
 		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
 	}
-	n.servers[s].held++
-	n.servers[s].accepted.add(n.now)
-	o.to[o.pushes], o.sent[o.pushes] = s, n.now
+	s.held++
+	s.accepted.add(n.now)
+	o.to[o.pushes], o.sent[o.pushes] = i, n.now
 	o.pushes++
 	o.out++
-	n.emit(Effect{Kind: Push, Op: o.id, Server: n.servers[s].Server, For: max(1, wait)})
+	n.emit(Effect{Kind: Push, Op: o.id, Server: s.Server, For: max(1, wait)})
 	return true
 }
 
@@ -552,9 +455,8 @@
 			continue
 		}
 		weight := s.Weight * s.warmth(n.now, &n.cold)
-		if s.pace > slowPace {
-			weight /= s.pace * s.pace
-		}
+		// Danger: equal turns overfill those that are slower than the list says.
+		weight /= max(1, s.pace*s.pace)
 		s.turn += weight
 		total += weight
 	}
@@ -592,19 +494,9 @@
 		n.carry > 0 && s.accepted.read(n.now) > max(target, w*n.carry*n.cold.Factor/2)) {
 		return false
 	}
-	if o.risk > 0 && n.kinds[o.category].Repeat == Deduplicated {
-		return n.sameGroup(n.kinds[o.category].Scope, o.group, i)
-	}
-	return true
-}
-
-func (n *Node) sameGroup(scope Scope, a, b int32) bool {
-	x, y := &n.servers[a], &n.servers[b]
-	switch scope {
-	case ScopeZone:
-		return x.Zone == y.Zone
-	case ScopeCell:
-		return x.Cell == y.Cell
+	if c := &n.kinds[o.category]; o.risk > 0 && c.Repeat == Deduplicated {
+		return c.Scope == ScopeAll || c.Scope == ScopeZone && s.Zone == o.zone ||
+			c.Scope == ScopeCell && s.Cell == o.cell
 	}
 	return true
 }
@@ -637,8 +529,6 @@
 	return true
 }
 
-func (n *Node) keep(*op) bool { return true }
-
 // ended learns from the end of a push and decides on its op.
 func (n *Node) ended(in *Input) {
 	p, found := n.byOp[in.Op]
@@ -652,21 +542,21 @@
 	o.out--
 	s.held--
 	if in.Outcome == Acked || in.Outcome == Errored {
-		n.errors += (number(in.Outcome == Errored) - n.errors) / (4 * shareMemory)
+		learn(&n.errors, number(in.Outcome == Errored), 4*shareMemory)
 	}
 	if in.Outcome == Acked {
 		s.acks.add(n.now)
 	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
-		s.pace += (float64(in.Took)/n.took[o.category].mean - s.pace) / shareMemory
+		learn(&s.pace, float64(in.Took)/n.took[o.category].mean, shareMemory)
 		n.took[o.category].learn(in.Took)
 	}
 	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
-		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)})
+		n.log("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)
 	}
 	on := signals[in.Outcome]
 	if on == mayHaveRun && o.risk == 0 {
-		o.risk, o.group = o.sent[in.Push], i
+		o.risk, o.zone, o.cell = o.sent[in.Push], s.Zone, s.Cell
 	}
 	if in.Settled {
 		on = answered
@@ -697,12 +587,12 @@
 			warm++
 		}
 		if s.steer(n.now, n.asked) {
-			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
-				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
+			n.log("control of %012x ends after %d ms, %d offered, %d rejected",
+				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)
 		}
 	}
 	if warm > 0 {
-		n.carry += (acks/warm - n.carry) * float64(beat) / float64(endAfter)
+		learn(&n.carry, acks/warm, float64(endAfter/beat))
 	}
 	if r := &n.registry; r.next > 0 && n.now >= r.next {
 		r.next = n.now + r.Within
@@ -723,14 +613,12 @@
 	for _, e := range in.List {
 		i, found := n.byID[e.Server]
 		if !found {
-			i = int32(len(n.servers))
+			i = n.room()
 			n.byID[e.Server] = i
-			n.servers = append(n.servers, server{})
 		}
 		s := &n.servers[i]
 		if !found || e.Started != s.Started {
-			interval := leakTicks * n.place.Tick
-			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{interval: interval}}
+			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{interval: leakTicks * n.place.Tick}}
 		}
 		if e.Weight <= 0 {
 			e.Weight = 1
@@ -740,6 +628,18 @@
 	n.choose()
 }
 
+// room is the place of a server that is gone and holds nothing, or a new one.
+func (n *Node) room() int32 {
+	for i := range n.servers {
+		if s := &n.servers[i]; s.State == Gone && s.held == 0 {
+			delete(n.byID, s.Server)
+			return int32(i)
+		}
+	}
+	n.servers = append(n.servers, server{})
+	return int32(len(n.servers) - 1)
+}
+
 // choose limits the rotation to some of the servers where open connections have a price, and there
 // are many. Danger: connections from every node fill a server's table, take its capacity, and
 // those beyond its cap fail. Each node takes its run of the ids in order, so that all are used alike.
@@ -765,16 +665,3 @@
 func (c *Category) harmless() bool {
 	return c.Repeat == Redeliverable || c.Repeat == Deduplicated && c.Scope == ScopeAll
 }
-
-func number(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
-// sortedAt is the place of x among ascending levels.
-func sortedAt(levels []float64, x float64) int {
-	i, _ := slices.BinarySearch(levels, x)
-	return min(i, len(levels)-1)
-}
--- a/policy/types.go
+++ b/policy/types.go
@@ -194,3 +194,54 @@
 type Decider interface {
 	Step(now Micros, in *Input) []Effect
 }
+
+// What follows is the module's own: an op in hand and its words.
+
+// state of an op in hand.
+type state uint8
+
+const (
+	fresh     state = iota
+	out             // a push is out
+	streaming       // the answer has begun and is the client's
+	over            // answered; pushes may still be out
+)
+
+// signal is an input as an op's state sees it.
+type signal uint8
+
+const (
+	arrives signal = iota
+	answered
+	neverRan
+	mayHaveRun
+	began
+	due
+	leaves
+)
+
+// mostPushes is the places for an op's pushes.
+const mostPushes = 8
+
+// op is an op in hand. It keeps its place in the slab until its last push has ended.
+type op struct {
+	id                   OpID
+	category             CategoryID
+	tenant               TenantID
+	level                int
+	state                state
+	pushes, allowed, out uint8  // pushes made, allowed by benefit, still out
+	place, life          uint16 // in the slab; an earlier life's timer does not fire on this one
+	goal, last           Micros // an answer past goal is worth nothing; one is given by last
+	risk                 Micros // send time of the first push that may have run; 0: none
+	zone                 ZoneID // of the server it may have run at
+	cell                 CellID
+	to                   [mostPushes]int32 // server of each push still out, or -1
+	sent                 [mostPushes]Micros
+}
+
+// tokens are the ops left to a tenant inside its share.
+type tokens struct {
+	left float64
+	at   Micros
+}
