--- /dev/null
+++ b/policy/helper_test.go
@@ -0,0 +1,155 @@
+package policy
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var update = flag.Bool("update", false, "write the traces anew")
+
+// script drives one node and prints what it does. Its clock fires the timers that the node set.
+type script struct {
+	*testing.T
+	node  *Node
+	now   Micros
+	last  OpID // of those that ops numbers
+	wakes []Effect
+	to    map[string]ServerID // last push of each op
+	out   strings.Builder
+}
+
+var (
+	safe    = Category{Benefit: 10, Target: Second, TTL: 3 * Second}
+	plain   = Category{Benefit: 1, Target: Second, TTL: 3 * Second}
+	once    = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: AtMostOnce}
+	inCell  = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: Deduplicated, Scope: ScopeCell, Window: 600 * Millisecond}
+	warming = ColdRule{From: 0.25, Warm: 8 * Second, Factor: 2, Window: Second}
+)
+
+func start(t *testing.T, reg RegistryRule, shares ShareRule, kinds ...Category) *script {
+	place := Place{Tiers: 1, Nodes: 2, Number: 1, Tick: 5 * Millisecond}
+	push := PushRule{Max: 4, Cancel: true, Duplicate: true, Dial: 100 * Millisecond, RetryAfter: Second}
+	return &script{T: t, node: New(1, place, kinds, shares, push, warming, reg), now: Second, last: 1000, to: map[string]ServerID{}}
+}
+
+// servers is a list of ready servers a, b, ... each in a cell of its own but for every third.
+func servers(n int) (list []Entry) {
+	for i := range n {
+		list = append(list, Entry{Server: ServerID(i + 1), Weight: 1, Cell: CellID(i % 3)})
+	}
+	return list
+}
+
+func name(s ServerID) string { return string(rune('a' + int(s) - 1)) }
+
+func (s *script) note(format string, args ...any) {
+	fmt.Fprintf(&s.out, "%8.1f  %s\n", float64(s.now)/1000, fmt.Sprintf(format, args...))
+}
+
+func (s *script) step(in Input) {
+	for _, e := range s.node.Step(s.now, &in) {
+		switch e.Kind {
+		case Push:
+			s.to[fmt.Sprint(e.Op)] = e.Server
+			s.note("  push op %d to %s for %.1f", e.Op, name(e.Server), float64(e.For)/1000)
+		case Nack:
+			s.note("  nack op %d, back in %.0f", e.Op, float64(e.For)/1000)
+		case DeadLetter:
+			s.note("  dead letter op %d", e.Op)
+		case Cancel:
+			s.note("  cancel op %d push %d", e.Op, e.Push)
+		case Wake:
+			s.wakes = append(s.wakes, e)
+		case Watch:
+			s.note("  watch the registry")
+		case Log:
+			s.note("  log: %s", e.Text)
+		}
+	}
+}
+
+func (s *script) list(form ListForm, entries []Entry) {
+	var text []string
+	for _, e := range entries {
+		text = append(text, name(e.Server)+[]string{"", " draining", " gone"}[e.State])
+	}
+	s.note("list %s: %s", []string{"changes", "whole", "cached", "failed"}[form], strings.Join(text, ", "))
+	s.step(Input{Kind: ListCame, Form: form, List: entries})
+}
+
+func (s *script) op(id OpID, category CategoryID) {
+	s.note("op %d of category %d", id, category)
+	s.step(Input{Kind: OpArrived, Op: id, Category: category, NotAfter: s.now + 2*Second})
+}
+
+func (s *script) end(id OpID, push PushNo, how Outcome) {
+	s.note("op %d push %d %s", id, push, []string{"acked", "errored", "full", "timed out", "failed to connect",
+		"reset", "cancelled", "moot"}[how])
+	s.step(Input{Kind: PushEnded, Op: id, Push: push, Server: s.to[fmt.Sprint(id)], Outcome: how,
+		Took: 50 * Millisecond, Settled: how == Acked})
+}
+
+// wait lets time pass and fires the timers that fall due.
+func (s *script) wait(span Micros) {
+	until := s.now + span
+	for {
+		slices.SortStableFunc(s.wakes, func(a, b Effect) int { return int(a.At - b.At) })
+		if len(s.wakes) == 0 || s.wakes[0].At > until {
+			s.now = until
+			return
+		}
+		w := s.wakes[0]
+		s.wakes = s.wakes[1:]
+		s.now = w.At
+		s.step(Input{Kind: Woken, Token: w.Token})
+	}
+}
+
+// quiet runs f without its trace, but for log lines, and notes how pushes spread over servers.
+func (s *script) quiet(what string, f func()) {
+	before := s.out.String()
+	s.out.Reset()
+	f()
+	counts := map[string]int{}
+	var logs []string
+	for _, line := range strings.Split(s.out.String(), "\n") {
+		fields := strings.Fields(line)
+		switch {
+		case len(fields) > 5 && fields[1] == "push":
+			counts["to "+fields[5]]++
+		case len(fields) > 1 && (fields[1] == "nack" || fields[1] == "dead"):
+			counts[fields[1]]++
+		case len(fields) > 1 && fields[1] == "log:":
+			logs = append(logs, line+"\n")
+		}
+	}
+	s.out.Reset()
+	s.out.WriteString(before)
+	s.note("%s: %v", what, counts)
+	s.out.WriteString(strings.Join(logs, ""))
+}
+
+// compare holds the trace against the one kept, named after the test.
+func (s *script) compare() {
+	s.Helper()
+	path := filepath.Join("testdata", strings.TrimPrefix(s.Name(), "Test")+".txt")
+	if *update {
+		if err := os.WriteFile(path, []byte(s.out.String()), 0o644); err != nil {
+			s.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		s.Fatal(err)
+	}
+	if diff := cmp.Diff(strings.Split(string(want), "\n"), strings.Split(s.out.String(), "\n")); diff != "" {
+		s.Errorf("trace (-kept +now):\n%s", diff)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,6 +25,7 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
+	markMost    = 4.0         // multiple of the target past which a step down is no larger
 	stepUp      = 1.0 / 4     // and rises by up to this a step
 	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
@@ -56,6 +57,7 @@
 // the ops of each level that ask for one server in a LeakInterval.
 func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
+	t.marks.value = min(t.marks.value, markMost*target) // Danger: a heavy burst refuses all long after
 	t.quiet = now
 	if t.on || t.marks.read(now) <= target {
 		return false
@@ -109,12 +111,9 @@
 // steer moves LeakAmount, faster the further marks are off target, then the cut (8.2.3, 8.2.5).
 // It ends control after endAfter with no mark and no rejection (8.2.4).
 func (t *throttle) steer(now Micros, asked []float64) (ended bool) {
-	if !t.on {
-		return false
-	}
-	if now-t.quiet >= endAfter {
-		t.on = false
-		return true
+	if !t.on || now-t.quiet >= endAfter {
+		ended, t.on = t.on, false
+		return ended
 	}
 	off := t.marks.read(now) / target
 	switch {
@@ -419,8 +418,8 @@
 		n.again--
 	case o.pushes == 0:
 		n.again = min(againMost, n.again+againShare)
-		if int(o.tenant) < len(n.allowance) {
-			n.allowance[o.tenant].left = max(0, n.allowance[o.tenant].left-1)
+		if int(o.tenant) < len(n.allowance) && n.allowance[o.tenant].left >= 1 {
+			n.allowance[o.tenant].left--
 		}
 		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
 	}
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,314 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+)
+
+var (
+	pushed  = RegistryRule{}
+	untaxed = ShareRule{}
+)
+
+// Every op gets one answer before its TTL though nothing else happens, and none after it.
+func TestOneAnswer(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, once)
+	s.list(ListCached, servers(2))
+	s.op(1, 0)
+	s.op(2, 1)
+	s.wait(3 * Second)
+	s.end(1, 0, Cancelled)
+	s.end(2, 0, Acked)
+	s.compare()
+}
+
+// An at-most-once op goes again or is nacked only while no push may have run.
+func TestAtMostOnce(t *testing.T) {
+	s := start(t, pushed, untaxed, once)
+	s.list(ListCached, servers(3))
+	s.op(1, 0)
+	s.end(1, 0, Full)
+	s.end(1, 1, ConnectFailed)
+	s.end(1, 2, Reset)
+	s.op(2, 0)
+	s.end(2, 0, Errored)
+	s.op(3, 0)
+	s.wait(2 * Second)
+	s.compare()
+}
+
+// A deduplicated op that may have run stays inside its cell and its window, and is never nacked.
+func TestDeduplicated(t *testing.T) {
+	s := start(t, pushed, untaxed, inCell)
+	s.list(ListCached, servers(6))
+	s.op(1, 0)
+	s.end(1, 0, Reset)
+	s.end(1, 1, Reset)
+	s.wait(Second)
+	s.op(2, 0)
+	s.wait(700 * Millisecond)
+	s.end(2, 0, Reset)
+	s.compare()
+}
+
+// Nothing new goes to a server told draining or gone, nor to one that a whole list leaves out.
+func TestDrains(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(4))
+	changed := servers(4)[:2]
+	changed[0].State, changed[1].State = Draining, Gone
+	s.list(ListChanges, changed)
+	s.quiet("ten ops", func() { s.ops(10, 0, Acked) })
+	s.list(ListWhole, servers(3)[2:])
+	s.quiet("ten ops", func() { s.ops(10, 0, Acked) })
+	s.list(ListWhole, nil)
+	s.op(99, 0)
+	s.compare()
+}
+
+func id(op OpID) string { return fmt.Sprint(op) }
+
+// inHand says that the last op still has a push out.
+func (s *script) inHand() bool {
+	_, found := s.node.byOp[s.last]
+	return found
+}
+
+// ops sends ops that end at once.
+func (s *script) ops(n int, category CategoryID, how Outcome) {
+	for range n {
+		s.last++
+		s.op(s.last, category)
+		s.wait(10 * Millisecond)
+		if s.inHand() {
+			s.end(s.last, PushNo(s.node.ops[s.node.byOp[s.last]].pushes-1), how)
+		}
+	}
+}
+
+// A timer of an op that is over does not end the next one in its place.
+func TestReusedPlace(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(1))
+	s.op(1, 0)
+	s.wait(500 * Millisecond)
+	s.end(1, 0, Acked)
+	s.op(2, 0)
+	s.wait(600 * Millisecond)
+	s.note("op 2 is still in hand")
+	s.wait(500 * Millisecond)
+	s.compare()
+}
+
+// A cold server is not pushed over while its like are under control, nor are all of them cold at once.
+func TestCold(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	list := servers(3)
+	s.list(ListCached, list)
+	s.quiet("warm, 10 s", func() { s.ops(1000, 0, Acked) })
+	list[2].Started = s.now
+	s.list(ListChanges, list[2:])
+	s.quiet("c cold, 2 s", func() { s.ops(200, 0, Acked) })
+	s.quiet("a and b full, c cold, 2 s", func() {
+		for range 200 {
+			s.last++
+			s.op(s.last, 0)
+			for s.inHand() && s.to[id(s.last)] < 3 {
+				s.end(s.last, PushNo(s.node.ops[0].pushes-1), Full)
+			}
+			if s.inHand() {
+				s.end(s.last, PushNo(s.node.ops[0].pushes-1), Acked)
+			}
+			s.wait(10 * Millisecond)
+		}
+	})
+	for i := range list {
+		list[i].Started = s.now
+	}
+	s.list(ListWhole, list)
+	s.quiet("all cold, nothing comes back", func() {
+		for range 10 {
+			s.last++
+			s.op(s.last, 0)
+		}
+	})
+	s.compare()
+}
+
+// Control starts on marks past the target, takes the lowest benefit first, and ends 10 s after the last.
+func TestControl(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(1))
+	mixed := func(n int, how Outcome) {
+		for i := range n {
+			s.ops(1, CategoryID(i%2), how)
+		}
+	}
+	s.quiet("well", func() { mixed(200, Acked) })
+	s.quiet("one full", func() { s.ops(1, 1, Full) })
+	s.quiet("well again", func() { mixed(100, Acked) })
+	for range 4 {
+		s.quiet("half of them full", func() {
+			for range 10 {
+				mixed(4, Full)
+				mixed(4, Acked)
+			}
+		})
+		s.note("cut %d", s.node.servers[0].cut)
+	}
+	for range 8 {
+		s.quiet("well, 2 s", func() { mixed(200, Acked) })
+		s.note("cut %d", s.node.servers[0].cut)
+	}
+	s.compare()
+}
+
+// Slow answers are marks only while more than their share of recent ones is slow.
+func TestSlow(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(1))
+	slow := func(every int) {
+		for i := range 40 {
+			s.last++
+			s.op(s.last, 0)
+			s.now += 10 * Millisecond
+			in := Input{Kind: PushEnded, Op: s.last, Outcome: Acked, Settled: true, Took: 50 * Millisecond}
+			if i%every == 0 {
+				in.Took = 900 * Millisecond
+			}
+			s.step(in)
+		}
+	}
+	s.quiet("one in eight slow", func() { slow(8) })
+	s.quiet("one in two slow", func() { slow(2) })
+	s.compare()
+}
+
+// A server that alone fails fast leaves the rotation; where all do, errors are marks.
+func TestErrors(t *testing.T) {
+	s := start(t, pushed, untaxed, plain)
+	s.list(ListCached, servers(4))
+	fail := func(n int, bad func(ServerID) bool) {
+		for range n {
+			s.last++
+			s.op(s.last, 0)
+			for s.inHand() {
+				how := Acked
+				if bad(s.to[id(s.last)]) {
+					how = Errored
+				}
+				s.end(s.last, PushNo(s.node.ops[0].pushes-1), how)
+			}
+			s.wait(10 * Millisecond)
+		}
+	}
+	s.quiet("a fails fast, 1 s", func() { fail(100, func(to ServerID) bool { return to == 1 }) })
+	s.quiet("a fails fast, 1 s", func() { fail(100, func(to ServerID) bool { return to == 1 }) })
+	s.quiet("all fail, 1 s", func() { fail(100, func(ServerID) bool { return true }) })
+	s.compare()
+}
+
+// Further pushes go by benefit, and those that add work are bounded for the whole node.
+func TestFurtherPushes(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(8))
+	for c := range CategoryID(2) {
+		s.last++
+		s.op(s.last, c)
+		for s.inHand() {
+			s.end(s.last, PushNo(s.node.ops[0].pushes-1), Full)
+		}
+	}
+	s.quiet("twenty ops, all pushes reset", func() {
+		for range 20 {
+			s.last++
+			s.op(s.last, 0)
+			for s.inHand() {
+				s.end(s.last, PushNo(s.node.ops[0].pushes-1), Reset)
+			}
+		}
+	})
+	s.note("%.1f further pushes left", s.node.again)
+	s.compare()
+}
+
+// A tenant beyond its share is worth less, and does not seem so by asking again after nacks.
+func TestShares(t *testing.T) {
+	s := start(t, pushed, ShareRule{Quota: []float64{40, 1000}, Beyond: 0.1}, safe)
+	s.list(ListCached, servers(2))
+	for _, span := range []Micros{100, 40, 20} {
+		beyond := 0
+		s.quiet(fmt.Sprintf("an op each %d ms", span), func() {
+			for range 100 {
+				s.now += (span - 10) * Millisecond
+				s.ops(1, 0, Acked)
+				beyond += 1 - s.node.ops[0].level
+			}
+		})
+		s.note("%d of 100 beyond the share", beyond)
+	}
+	s.wait(2 * Second)
+	s.list(ListWhole, nil)
+	s.quiet("ops every 10 ms, none pushed", func() { s.ops(50, 0, Acked) })
+	s.note("the next is worth %.1f", s.node.share(0))
+	s.compare()
+}
+
+// The registry is asked at random, again after failures ever later, and not while subscribed.
+func TestRegistry(t *testing.T) {
+	s := start(t, RegistryRule{Ask: true, Within: 10 * Second}, untaxed, safe)
+	s.list(ListCached, servers(1))
+	s.wait(2 * Second)
+	for range 4 {
+		s.list(ListFailed, nil)
+		s.wait(8 * Second)
+	}
+	s.list(ListChanges, servers(2))
+	s.wait(20 * Second)
+	s.list(ListFailed, nil)
+	s.wait(2 * Second)
+	s.compare()
+}
+
+// Where open connections are priced, nodes keep to runs of the servers that use all of them alike.
+func TestFewConnections(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.node.rule.Few = true
+	s.list(ListCached, servers(20))
+	s.quiet("forty ops", func() { s.ops(40, 0, Acked) })
+	s.compare()
+}
+
+// Turns are even; a server that holds over twice the mean is skipped, a slower one gets fewer.
+func TestRotation(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(4))
+	s.quiet("eighty ops", func() { s.ops(80, 0, Acked) })
+	for i := range OpID(4) {
+		s.op(i, 0)
+	}
+	s.end(0, 0, Acked)
+	s.end(1, 0, Acked)
+	s.end(2, 0, Acked)
+	s.quiet("twenty ops beside one held", func() { s.ops(20, 0, Acked) })
+	s.compare()
+}
+
+// The ordinary path allocates nothing.
+func TestNoAllocation(t *testing.T) {
+	n := start(t, pushed, untaxed, safe).node
+	now, op := Second, OpID(0)
+	n.Step(now, &Input{Kind: ListCame, Form: ListCached, List: servers(4)})
+	var in Input
+	got := testing.AllocsPerRun(2000, func() {
+		op++
+		now += Millisecond
+		in = Input{Kind: OpArrived, Op: op, NotAfter: now + 2*Second}
+		to := n.Step(now, &in)[0].Server
+		in = Input{Kind: PushEnded, Op: op, Server: to, Outcome: Acked, Took: 50 * Millisecond, Settled: true}
+		n.Step(now, &in)
+	})
+	if got != 0 {
+		t.Errorf("%v allocations an op", got)
+	}
+}
