--- a/policy/policy.go
+++ b/policy/policy.go
@@ -393,8 +393,10 @@
 // push sends the op, or sends it again where its category, its benefit and the time allow.
 func (n *Node) push(o *op) bool {
 	c, took := &n.kinds[o.category], &n.took[o.category]
+	// Danger: time-outs learned while all is lost would say that every op comes too late, for ever.
+	least := min(Micros(took.mean-took.dev), c.Target/2)
 	switch {
-	case o.pushes >= o.allowed, n.now+Micros(max(0, took.mean-took.dev)) > o.goal:
+	case o.pushes >= o.allowed, n.now+max(0, least) > o.goal:
 		return false
 	case o.risk == 0:
 	case c.Repeat == AtMostOnce, c.Repeat == Deduplicated && n.now >= o.risk+c.Window-n.place.Tick:
