The accepted rate is corrected for a memory not yet full

Control that starts in a node's first second took far too low a rate for its bounds, and held all later traffic to it.

--- a/policy/memory.go
+++ b/policy/memory.go
@@ -8,6 +8,7 @@
 type rate struct {
 	value float64
 	at    Micros
+	first Micros // when it began to count
 }
 
 func (r *rate) read(now Micros) float64 {
@@ -18,7 +19,17 @@
 	return r.value
 }
 
-func (r *rate) add(now Micros) { r.value = r.read(now) + float64(Second)/float64(period) }
+func (r *rate) add(now Micros) {
+	if r.first == 0 {
+		r.first = now
+	}
+	r.value = r.read(now) + float64(Second)/float64(period)
+}
+
+// whole is the rate less the shortfall of a memory that is not yet full.
+func (r *rate) whole(now Micros) float64 {
+	return r.read(now) / (1 - math.Exp(-float64(max(beat, now-r.first))/float64(period)))
+}
 
 // answers is the recent answer time of a category.
 type answers struct{ mean, dev float64 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,7 +64,7 @@
 	}
 	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, interval: t.interval,
 		cut: -1, leaked: now, quiet: now, since: now}
-	recent := max(t.accepted.read(now), 2*target) * float64(t.interval) / float64(Second)
+	recent := max(t.accepted.whole(now), 2*target) * float64(t.interval) / float64(Second)
 	t.high, t.low = recent*loosest, recent*tightest
 	t.moveCut(1, asked)
 	t.leak = recent
