A silent server leaves the rotation at its first time-out; at-most-once ops try no server out

A zone lost without notice: three time-outs in a row took seconds to come and an op each, and the at-most-once ops sent to try a dead server were dead-lettered.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -133,32 +133,35 @@
 type server struct {
 	Entry
 	throttle
-	held               int     // pushes out
-	turn               float64 // of the weighted rotation
-	acks               rate
-	pace               float64 // recent answer times, as a multiple of their categories'
-	errors             float64 // share of recent pushes that ended in an error
-	failures, timeouts int     // in a row
-	down               Micros  // no push before this
-	far                bool    // not in this node's rotation
-	tried              uint64  // the round of pick that passed it over
+	held     int     // pushes out
+	turn     float64 // of the weighted rotation
+	acks     rate
+	pace     float64 // recent answer times, as a multiple of their categories'
+	errors   float64 // share of recent pushes that ended in an error
+	failures int     // in a row
+	heard    Micros  // last answer of any kind
+	down     Micros  // no push before this
+	far      bool    // not in this node's rotation
+	tried    uint64  // the round of pick that passed it over
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now Micros, how Outcome, slow bool, dial Micros, common float64,
+func (s *server) observe(now, sent Micros, how Outcome, slow bool, dial Micros, common float64,
 	asked []float64) (started bool) {
 	if how == Acked || how == Errored {
+		s.heard = now
 		learn(&s.errors, number(how == Errored), shareMemory)
 	}
 	switch how {
 	case Acked:
-		s.failures, s.timeouts = 0, 0
+		s.failures = 0
 		learn(&s.slow, number(slow), shareMemory)
 		return slow && s.slow > slowShare && s.mark(now, asked)
 	case Full:
 		return s.mark(now, asked)
 	case TimedOut:
-		if s.timeouts++; s.timeouts > 2 {
+		// Danger: a server that fell silent still looks free, and eats an op each turn.
+		if s.heard < sent {
 			s.fail(now, dial)
 		}
 		return s.mark(now, asked)
@@ -395,15 +398,12 @@
 	c, took := &n.kinds[o.category], &n.took[o.category]
 	// Danger: time-outs learned while all is lost would say that every op comes too late, for ever.
 	least := min(Micros(took.mean-took.dev), c.Target/2)
-	switch {
-	case o.pushes >= o.allowed, n.now+max(0, least) > o.goal:
-		return false
-	case o.risk == 0:
-	case c.Repeat == AtMostOnce, c.Repeat == Deduplicated && n.now >= o.risk+c.Window-n.place.Tick:
+	if o.pushes >= o.allowed || n.now+max(0, least) > o.goal {
 		return false
 	}
 	// Danger: further pushes that add work feed the overload that made them.
-	if o.risk > 0 && n.again < 1 {
+	if o.risk > 0 && (n.again < 1 || c.Repeat == AtMostOnce ||
+		c.Repeat == Deduplicated && n.now >= o.risk+c.Window-n.place.Tick) {
 		return false
 	}
 	i := n.pick(o)
@@ -486,7 +486,8 @@
 	if s.far || float64(s.held) > most {
 		return false
 	}
-	if !anyway && (s.down > n.now || s.failures > 0 && s.held > 0) {
+	// An op that cannot go again is not for trying a server out.
+	if !anyway && (s.down > n.now || s.failures > 0 && (s.held > 0 || n.kinds[o.category].Repeat == AtMostOnce)) {
 		return false
 	}
 	// Danger: a cold server is pushed over by all nodes together: as its like are full or under
@@ -552,7 +553,7 @@
 		learn(&s.pace, float64(in.Took)/n.took[o.category].mean, shareMemory)
 		n.took[o.category].learn(in.Took)
 	}
-	if s.observe(n.now, in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
+	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
 		n.log("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)
 	}
 	on := signals[in.Outcome]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -208,6 +208,24 @@
 	s.compare()
 }
 
+// A server heard nothing of since a push that timed out is tried again by one op that can go again.
+func TestSilent(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, once)
+	s.list(ListCached, servers(2))
+	for range 2 {
+		s.last++
+		s.op(s.last, 0)
+	}
+	s.end(s.last-1, 0, Acked)
+	s.wait(600 * Millisecond)
+	s.end(s.last, 0, TimedOut)
+	s.end(s.last, 1, Acked)
+	s.quiet("down for 200 ms", func() { s.ops(20, 0, Acked) })
+	s.quiet("at-most-once ops", func() { s.ops(20, 1, Acked) })
+	s.quiet("redeliverable ops", func() { s.ops(20, 0, Acked) })
+	s.compare()
+}
+
 // Further pushes go by benefit, and those that add work are bounded for the whole node.
 func TestFurtherPushes(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
