--- a/policy/policy.go
+++ b/policy/policy.go
@@ -272,7 +272,6 @@
 	again     float64 // further pushes saved up
 	carry     float64 // acks a second of a warm server, over a longer time
 	round     uint64  // of pick
-	beating   bool
 	effects   []Effect
 }
 
@@ -301,10 +300,6 @@
 // Step takes one input and returns what to do, valid until the next call.
 func (n *Node) Step(now Micros, in *Input) []Effect {
 	n.now, n.effects = now, n.effects[:0]
-	if !n.beating {
-		n.beating = true
-		n.emit(Effect{Kind: Wake, At: now + beat, Token: beatToken})
-	}
 	switch in.Kind {
 	case OpArrived:
 		n.decide(n.take(in), arrives)
@@ -508,11 +503,11 @@
 	if (o.risk > 0 || o.out > 0) && !n.kinds[o.category].harmless() {
 		return false
 	}
-	advice := Micros(0)
+	e := Effect{Kind: Nack, Op: o.id}
 	if n.now+n.place.Tick >= o.goal {
-		advice = n.rule.RetryAfter
+		e.For = n.rule.RetryAfter
 	}
-	n.emit(Effect{Kind: Nack, Op: o.id, For: advice})
+	n.emit(e)
 	return n.drop(o)
 }
 
@@ -628,6 +623,9 @@
 		s.Entry = e
 	}
 	n.choose()
+	if in.Form == ListCached {
+		n.tick()
+	}
 }
 
 // room is the place of a server that is gone and holds nothing, or a new one.
--- a/policy/types.go
+++ b/policy/types.go
@@ -114,7 +114,7 @@
 const (
 	ListChanges ListForm = iota
 	ListWhole
-	ListCached // whole, but old
+	ListCached // whole, but old: the first of a node's life, and only that
 	ListFailed // a call to the registry failed, or the subscription broke
 )
 
