--- a/policy/memory.go
+++ b/policy/memory.go
@@ -32,7 +32,7 @@
 }
 
 // answers is the recent answer time of a category.
-type answers struct{ mean, dev float64 }
+type answers struct{ mean, dev, usual float64 }
 
 func (a *answers) learn(took Micros) {
 	learn(&a.dev, math.Abs(float64(took)-a.mean), shareMemory)
@@ -48,3 +48,15 @@
 	}
 	return 0
 }
+
+// room is the place of a server that is gone and holds nothing, or a new one.
+func (n *Node) room() int32 {
+	for i := range n.servers {
+		if s := &n.servers[i]; s.State == Gone && s.held == 0 {
+			delete(n.byID, s.Server)
+			return int32(i)
+		}
+	}
+	n.servers = append(n.servers, server{})
+	return int32(len(n.servers) - 1)
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,7 +27,7 @@
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
 	markMost    = 4.0         // multiple of the target past which a step down is no larger
 	stepUp      = 1.0 / 4     // and rises by up to this a step
-	slowShare   = 1.0 / 4     // slow answers are marks while more than this share is slow
+	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
@@ -272,6 +272,7 @@
 	again     float64 // further pushes saved up
 	carry     float64 // acks a second of a warm server, over a longer time
 	round     uint64  // of pick
+	full      bool    // a server here turns ops away
 	effects   []Effect
 }
 
@@ -285,7 +286,8 @@
 	for i, c := range kinds {
 		// Danger: the first answers to come are the quick ones; time-outs taken from them alone
 		// would cut off the rest.
-		n.took[i] = answers{mean: float64(n.aim(&c)) / 4, dev: float64(n.aim(&c)) / 4}
+		n.took[i] = answers{mean: float64(n.aim(&c)) / 4, dev: float64(n.aim(&c)) / 4,
+			usual: float64(n.aim(&c)) / 4}
 		n.levels = append(n.levels, c.Benefit)
 		if len(shares.Quota) > 0 {
 			n.levels = append(n.levels, c.Benefit*shares.Beyond)
@@ -534,7 +536,7 @@
 	}
 	o := &n.ops[p]
 	i := o.to[in.Push]
-	s, c := &n.servers[i], &n.kinds[o.category]
+	s, c, took := &n.servers[i], &n.kinds[o.category], &n.took[o.category]
 	o.to[in.Push] = -1
 	o.out--
 	s.held--
@@ -545,10 +547,18 @@
 		s.acks.add(n.now)
 	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
-		learn(&s.pace, float64(in.Took)/n.took[o.category].mean, shareMemory)
-		n.took[o.category].learn(in.Took)
+		learn(&s.pace, float64(in.Took)/took.mean, shareMemory)
+		took.learn(in.Took)
+		if !s.on {
+			learn(&took.usual, min(float64(in.Took), 4*took.usual), 16*shareMemory)
+		}
+	}
+	slow := n.aim(c)
+	if n.full = n.full || in.Outcome == Full; !n.full {
+		// Danger: where queues are deep, servers jam long before answers pass target latency.
+		slow = min(slow, max(slow*2/3, Micros(2*took.usual)))
 	}
-	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > n.aim(c), n.rule.Dial, n.errors, n.asked) {
+	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > slow, n.rule.Dial, n.errors, n.asked) {
 		n.log("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)
 	}
 	on := signals[in.Outcome]
@@ -628,18 +638,6 @@
 	}
 }
 
-// room is the place of a server that is gone and holds nothing, or a new one.
-func (n *Node) room() int32 {
-	for i := range n.servers {
-		if s := &n.servers[i]; s.State == Gone && s.held == 0 {
-			delete(n.byID, s.Server)
-			return int32(i)
-		}
-	}
-	n.servers = append(n.servers, server{})
-	return int32(len(n.servers) - 1)
-}
-
 // choose limits the rotation to some of the servers where open connections have a price, and there
 // are many. Danger: connections from every node fill a server's table, take its capacity, and
 // those beyond its cap fail. Each node takes its run of the ids in order, so that all are used alike.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -167,23 +167,37 @@
 func TestSlow(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
 	s.list(ListCached, servers(1))
-	slow := func(every int) {
+	slow := func(every int, took Micros) {
 		for i := range 40 {
 			s.last++
 			s.op(s.last, 0)
 			s.now += 10 * Millisecond
 			in := Input{Kind: PushEnded, Op: s.last, Outcome: Acked, Settled: true, Took: 50 * Millisecond}
 			if i%every == 0 {
-				in.Took = 900 * Millisecond
+				in.Took = took
 			}
 			s.step(in)
 		}
 	}
-	s.quiet("one in eight slow", func() { slow(8) })
-	s.quiet("one in two slow", func() { slow(2) })
+	s.quiet("one in eight slow", func() { slow(8, 900*Millisecond) })
+	s.quiet("one in two slow", func() { slow(2, 900*Millisecond) })
+	for _, full := range []bool{true, false} {
+		s = startAgain(s, full)
+		s.quiet(fmt.Sprintf("one in two past twice the usual; servers turn ops away: %v", full),
+			func() { slow(2, 450*Millisecond) })
+	}
 	s.compare()
 }
 
+// startAgain goes on with a new node, and the trace so far.
+func startAgain(s *script, full bool) *script {
+	again := start(s.T, pushed, untaxed, safe)
+	again.out.WriteString(s.out.String())
+	again.list(ListCached, servers(1))
+	again.node.full = full
+	return again
+}
+
 // A server that alone fails fast leaves the rotation; where all do, errors are marks.
 func TestErrors(t *testing.T) {
 	s := start(t, pushed, untaxed, plain)
