--- a/policy/policy.go
+++ b/policy/policy.go
@@ -325,10 +325,6 @@
 
 func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
 
-func (n *Node) log(format string, args ...any) {
-	n.emit(Effect{Kind: Log, Text: fmt.Sprintf(format, args...)})
-}
-
 func (n *Node) signal(id OpID, on signal) {
 	if p, found := n.byOp[id]; found {
 		n.decide(&n.ops[p], on)
@@ -366,7 +362,8 @@
 	n.offered[o.level].add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	o.last = in.NotAfter - 2*n.place.Tick
-	o.goal = min(n.now+c.Target-2*n.place.Tick, o.last)
+	// Danger: a call that its op cannot use any more holds a place in its caller's server.
+	o.goal = min(n.now+n.part(c, n.place.Tiers)-2*n.place.Tick, o.last)
 	if c.harmless() || n.place.Tier > 0 {
 		o.last = o.goal // Danger: failing late; the client may still try elsewhere in time
 	}
@@ -559,7 +556,8 @@
 		slow = min(slow, max(slow*2/3, Micros(2*took.usual)))
 	}
 	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > slow, n.rule.Dial, n.errors, n.asked) {
-		n.log("control of %012x starts at %.1f ops/s", s.Server, s.accepted.value)
+		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts at %.1f ops/s", s.Server,
+			s.accepted.value)})
 	}
 	on := signals[in.Outcome]
 	if on == mayHaveRun && o.risk == 0 {
@@ -571,11 +569,14 @@
 	n.decide(o, on)
 }
 
-// aim is the target latency of a push: a tier further down has as much less time.
-func (n *Node) aim(c *Category) Micros {
-	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(n.place.Tiers+1)
+// part is what a tier has of target latency, split into so many parts: further down it is less.
+func (n *Node) part(c *Category, of int) Micros {
+	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(of)
 }
 
+// aim is the time past which an answer is slow: one part is kept back for another push.
+func (n *Node) aim(c *Category) Micros { return n.part(c, n.place.Tiers+1) }
+
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
 	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
@@ -594,8 +595,8 @@
 			warm++
 		}
 		if s.steer(n.now, n.asked) {
-			n.log("control of %012x ends after %d ms, %d offered, %d rejected",
-				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)
+			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
+				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
 		}
 	}
 	if warm > 0 {
