--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -102,6 +102,7 @@
 		at := fmt.Sprintf("categories.%d.", i)
 		out[i] = policy.Category{
 			Benefit: s.number(at + "benefit"),
+			Late:    s.numberOr(at+"tardy_benefit", 0),
 			Target:  s.span(at + "target_latency"),
 			TTL:     s.span(at + "ttl"),
 			Repeat: choice(s, at+"effect", map[string]policy.Repeat{"idempotent": policy.Redeliverable,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -364,7 +364,9 @@
 	o.last = in.NotAfter - 2*n.place.Tick
 	// Danger: a call that its op cannot use any more holds a place in its caller's server.
 	o.goal = min(n.now+n.part(c, n.place.Tiers)-2*n.place.Tick, o.last)
-	if c.harmless() || n.place.Tier > 0 {
+	if c.Late > 0 {
+		o.goal = o.last // a late answer still has some benefit
+	} else if c.harmless() || n.place.Tier > 0 {
 		o.last = o.goal // Danger: failing late; the client may still try elsewhere in time
 	}
 	return o
@@ -440,8 +442,7 @@
 	}
 	anyway := up == 0 // Danger: all look dead; one of them may be back
 	mean := float64(held) / float64(max(1, up))
-	most := min(2*mean, mean+2)
-	total := 0.0
+	most, total := min(2*mean, mean+2), 0.0
 	n.round++
 	for i := range n.servers {
 		s := &n.servers[i]
@@ -449,9 +450,8 @@
 			s.tried = n.round
 			continue
 		}
-		weight := s.Weight * s.warmth(n.now, &n.cold)
 		// Danger: equal turns overfill those that are slower than the list says.
-		weight /= max(1, s.pace*s.pace)
+		weight := s.Weight * s.warmth(n.now, &n.cold) / max(1, s.pace*s.pace)
 		s.turn += weight
 		total += weight
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -42,7 +42,8 @@
 // Category is one kind of op.
 type Category struct {
 	Benefit float64
-	Target  Micros // target latency
+	Late    float64 // share of the benefit that an answer past target latency still has
+	Target  Micros  // target latency
 	TTL     Micros
 	Repeat  Repeat
 	Scope   Scope
