--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,7 +25,6 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
-	markMost    = 4.0         // multiple of the target past which a step down is no larger
 	stepUp      = 1.0 / 4     // and rises by up to this a step
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
@@ -48,7 +47,7 @@
 	count, leak       float64
 	high, low         float64 // bounds of LeakAmount
 	leaked, quiet     Micros  // last leak; last mark or rejection
-	since             Micros
+	since, marked     Micros  // start; last mark
 	offered, rejected int
 }
 
@@ -57,13 +56,12 @@
 // the ops of each level that ask for one server in a LeakInterval.
 func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
-	t.marks.value = min(t.marks.value, markMost*target) // Danger: a heavy burst refuses all long after
-	t.quiet = now
+	t.quiet, t.marked = now, now
 	if t.on || t.marks.read(now) <= target {
 		return false
 	}
 	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, interval: t.interval,
-		cut: -1, leaked: now, quiet: now, since: now}
+		cut: -1, leaked: now, quiet: now, marked: now, since: now}
 	recent := max(t.accepted.whole(now), 2*target) * float64(t.interval) / float64(Second)
 	t.high, t.low = recent*loosest, recent*tightest
 	t.moveCut(1, asked)
@@ -115,7 +113,8 @@
 		ended, t.on = t.on, false
 		return ended
 	}
-	off := t.marks.read(now) / target
+	// Danger: after a burst of marks their rate stays high when none has come for long.
+	off := min(t.marks.read(now), float64(Second)/float64(max(beat, now-t.marked))) / target
 	switch {
 	case off > 1 && t.leak > t.low:
 		t.leak = max(t.low, t.leak*max(0.5, 1-stepDown*(off-1)))
