--- a/policy/policy.go
+++ b/policy/policy.go
@@ -408,7 +408,7 @@
 	s := &n.servers[i]
 	wait := o.last - n.now
 	if o.pushes+1 < o.allowed && c.Repeat != AtMostOnce {
-		wait = min(wait, max(Micros(took.mean+4*took.dev), n.rule.Dial))
+		wait = min(wait, max(Micros(took.mean+6*took.dev), n.rule.Dial))
 	}
 	switch {
 	case o.risk > 0:
