--- a/policy/policy.go
+++ b/policy/policy.go
@@ -154,6 +154,7 @@
 	switch how {
 	case Acked:
 		s.failures = 0
+		s.acks.add(now)
 		learn(&s.slow, number(slow), shareMemory)
 		return slow && s.slow > slowShare && s.mark(now, asked)
 	case Full:
@@ -171,8 +172,7 @@
 		if s.errors > sinkhole && s.errors > 2*common {
 			s.fail(now, dial)
 		} else if common > errorShare {
-			// Danger: errors from everywhere come from the tier below being full; this tier's work
-			// for them is lost, so they count as marks.
+			// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
 			return s.mark(now, asked)
 		}
 	}
@@ -272,6 +272,7 @@
 	carry     float64 // acks a second of a warm server, over a longer time
 	round     uint64  // of pick
 	full      bool    // a server here turns ops away
+	strained  bool    // a server is under control
 	effects   []Effect
 }
 
@@ -361,8 +362,12 @@
 	n.offered[o.level].add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	o.last = in.NotAfter - 2*n.place.Tick
-	// Danger: a call that its op cannot use any more holds a place in its caller's server.
-	o.goal = min(n.now+n.part(c, n.place.Tiers)-2*n.place.Tick, o.last)
+	within := c.Target
+	if n.strained {
+		// Danger: a call that its op cannot use any more holds a place in its caller's server.
+		within = n.part(c, n.place.Tiers)
+	}
+	o.goal = min(n.now+within-2*n.place.Tick, o.last)
 	if c.Late > 0 {
 		o.goal = o.last // a late answer still has some benefit
 	} else if c.harmless() || n.place.Tier > 0 {
@@ -371,9 +376,8 @@
 	return o
 }
 
-// share is 1, or what is left of an op's benefit beyond its tenant's share. The quota is over all
-// nodes; this one holds an even part of it. Danger: a tenant whose ops are nacked asks again, and
-// would seem beyond its share; so only ops that are pushed use it up.
+// share is what an op's benefit counts, by this node's part of its tenant's quota. Danger: a tenant
+// whose nacked ops ask again would seem beyond its share; so only ops that are pushed use it up.
 func (n *Node) share(t TenantID) float64 {
 	if int(t) >= len(n.allowance) || n.place.Tier > 0 {
 		return 1
@@ -439,13 +443,12 @@
 			up++
 		}
 	}
-	anyway := up == 0 // Danger: all look dead; one of them may be back
 	mean := float64(held) / float64(max(1, up))
 	most, total := min(2*mean, mean+2), 0.0
 	n.round++
 	for i := range n.servers {
 		s := &n.servers[i]
-		if !n.may(o, int32(i), most, anyway) {
+		if !n.may(o, int32(i), most, up == 0) { // Danger: all look dead; one may be back
 			s.tried = n.round
 			continue
 		}
@@ -539,9 +542,6 @@
 	if in.Outcome == Acked || in.Outcome == Errored {
 		learn(&n.errors, number(in.Outcome == Errored), 4*shareMemory)
 	}
-	if in.Outcome == Acked {
-		s.acks.add(n.now)
-	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
 		learn(&s.pace, float64(in.Took)/took.mean, shareMemory)
 		took.learn(in.Took)
@@ -586,9 +586,10 @@
 	for l := range n.asked {
 		n.asked[l] = n.offered[l].read(n.now) / max(1, up) * float64(leakTicks*n.place.Tick) / float64(Second)
 	}
-	acks, warm := 0.0, 0.0
+	acks, warm, on := 0.0, 0.0, 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
+		on += number(s.on && !s.far)
 		if !s.far && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
 			acks += s.acks.read(n.now)
 			warm++
@@ -598,6 +599,7 @@
 				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
 		}
 	}
+	n.strained = on > 0
 	if warm > 0 {
 		learn(&n.carry, acks/warm, float64(endAfter/beat))
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -344,3 +344,16 @@
 		t.Errorf("%v allocations an op", got)
 	}
 }
+
+// A call to a lower tier ends at its part of target latency once control has started, not before.
+func TestCallsEnd(t *testing.T) {
+	s := start(t, pushed, untaxed, once)
+	s.node.place.Tier, s.node.place.Tiers = 1, 2
+	s.list(ListCached, servers(1))
+	s.op(1, 0)
+	s.end(1, 0, Acked)
+	s.quiet("two full", func() { s.ops(2, 0, Full) })
+	s.wait(beat)
+	s.op(2, 0)
+	s.compare()
+}
