--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -118,7 +118,8 @@
 }
 
 func (s *settings) shares() policy.ShareRule {
-	rule := policy.ShareRule{Quota: make([]float64, s.count("tenants")), Beyond: s.numberOr("beyond_share_benefit", 1)}
+	rule := policy.ShareRule{Quota: make([]float64, s.count("tenants")),
+		Beyond: s.numberOr("beyond_share_benefit", 1)}
 	for i := range rule.Quota {
 		rule.Quota[i] = s.number(fmt.Sprintf("tenants.%d.quota_rps", i))
 	}
@@ -129,7 +130,8 @@
 func newNode(seed uint64, text []byte) (*policy.Node, error) {
 	s := parseSettings(text)
 	place := policy.Place{Tier: s.whole("tier"), Tiers: len(strings.Split(s.text("tiers"), ",")),
-		Nodes: s.whole("fleet_size"), Number: s.whole("slot_no"), Zone: policy.ZoneID(s.whole("az")), Tick: s.span("tick")}
+		Nodes: s.whole("fleet_size"), Number: s.whole("slot_no"),
+		Zone: policy.ZoneID(s.whole("az")), Tick: s.span("tick")}
 	push := policy.PushRule{Max: s.whole("limits.max_pushes"), Duplicate: s.flag("limits.may_duplicate"),
 		Cancel: s.flag("limits.may_cancel"), Dial: s.span("limits.dial_timeout"),
 		Few: s.numberOr("prices.connection", 0) > 0}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -48,8 +48,8 @@
 	formFailed = 3
 )
 
-var outcomes = map[byte]policy.Outcome{0: policy.Acked, 5: policy.Errored, 11: policy.Full, 110: policy.TimedOut,
-	111: policy.ConnectFailed, 104: policy.Reset, 125: policy.Cancelled, 114: policy.Moot}
+var outcomes = map[byte]policy.Outcome{0: policy.Acked, 5: policy.Errored, 11: policy.Full,
+	110: policy.TimedOut, 111: policy.ConnectFailed, 104: policy.Reset, 125: policy.Cancelled, 114: policy.Moot}
 
 var forms = [...]policy.ListForm{policy.ListChanges, policy.ListWhole, policy.ListCached, policy.ListFailed}
 
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -73,8 +73,8 @@
 
 // A list's number is reused within a batch; each instance keeps what its own event meant.
 func TestListsByEventOrder(t *testing.T) {
-	got, err := serve(frame(rows(1), create(0, options), endpoints(0), rows(2), create(1, options), endpoints(1),
-		request(0), request(1)))
+	got, err := serve(frame(rows(1), create(0, options), endpoints(0), rows(2), create(1, options),
+		endpoints(1), request(0), request(1)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -105,9 +105,11 @@
 		"unknown code":     {frame([]byte{99, 0, 0, 0, 0}), "unknown code 99"},
 		"unknown instance": {frame(request(3)), "instance 3, which is not running"},
 		"unknown list":     {frame(create(0, options), endpoints(0)), "no list 0 has come"},
-		"missing setting":  {frame(create(0, strings.Replace(options, "tick", "tock", 1))), "setting tick is missing"},
-		"bad setting":      {frame(create(0, strings.Replace(options, "7800.0", "soon", 1))), `safety.cold is no number: "soon"`},
-		"killed":           {frame(create(0, options), []byte{evKill, 0, 0, 0, 0}, request(0)), "not running"},
+		"missing setting": {frame(create(0, strings.Replace(options, "tick", "tock", 1))),
+			"setting tick is missing"},
+		"bad setting": {frame(create(0, strings.Replace(options, "7800.0", "soon", 1))),
+			`safety.cold is no number: "soon"`},
+		"killed": {frame(create(0, options), []byte{evKill, 0, 0, 0, 0}, request(0)), "not running"},
 	} {
 		_, err := serve(c.in)
 		switch {
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -26,17 +26,19 @@
 }
 
 var (
-	safe    = Category{Benefit: 10, Target: Second, TTL: 3 * Second}
-	plain   = Category{Benefit: 1, Target: Second, TTL: 3 * Second}
-	once    = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: AtMostOnce}
-	inCell  = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: Deduplicated, Scope: ScopeCell, Window: 600 * Millisecond}
+	safe   = Category{Benefit: 10, Target: Second, TTL: 3 * Second}
+	plain  = Category{Benefit: 1, Target: Second, TTL: 3 * Second}
+	once   = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: AtMostOnce}
+	inCell = Category{Benefit: 10, Target: Second, TTL: 3 * Second, Repeat: Deduplicated, Scope: ScopeCell,
+		Window: 600 * Millisecond}
 	warming = ColdRule{From: 0.25, Warm: 8 * Second, Factor: 2, Window: Second}
 )
 
 func start(t *testing.T, reg RegistryRule, shares ShareRule, kinds ...Category) *script {
 	place := Place{Tiers: 1, Nodes: 2, Number: 1, Tick: 5 * Millisecond}
 	push := PushRule{Max: 4, Cancel: true, Duplicate: true, Dial: 100 * Millisecond, RetryAfter: Second}
-	return &script{T: t, node: New(1, place, kinds, shares, push, warming, reg), now: Second, last: 1000, to: map[string]ServerID{}}
+	return &script{T: t, node: New(1, place, kinds, shares, push, warming, reg), now: Second, last: 1000,
+		to: map[string]ServerID{}}
 }
 
 // servers is a list of ready servers a, b, ... each in a cell of its own but for every third.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -360,6 +360,7 @@
 	benefit := c.Benefit * n.share(in.Tenant)
 	o.level, _ = slices.BinarySearch(n.levels, benefit)
 	n.offered[o.level].add(n.now)
+	n.asked[o.level] = max(n.asked[o.level], math.SmallestNonzeroFloat64) // the next tick tells the rate
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	o.last = in.NotAfter - 2*n.place.Tick
 	within := c.Target
@@ -478,12 +479,12 @@
 
 // may says whether a server is in the rotation for the op.
 func (n *Node) may(o *op, i int32, most float64, anyway bool) bool {
-	s := &n.servers[i]
+	s, c := &n.servers[i], &n.kinds[o.category]
 	if s.far || float64(s.held) > most {
 		return false
 	}
 	// An op that cannot go again is not for trying a server out.
-	if !anyway && (s.down > n.now || s.failures > 0 && (s.held > 0 || n.kinds[o.category].Repeat == AtMostOnce)) {
+	if !anyway && (s.down > n.now || s.failures > 0 && (s.held > 0 || c.Repeat == AtMostOnce)) {
 		return false
 	}
 	// Danger: a cold server is pushed over by all nodes together: as its like are full or under
@@ -492,7 +493,7 @@
 		n.carry > 0 && s.accepted.read(n.now) > max(target, w*n.carry*n.cold.Factor/2)) {
 		return false
 	}
-	if c := &n.kinds[o.category]; o.risk > 0 && c.Repeat == Deduplicated {
+	if o.risk > 0 && c.Repeat == Deduplicated {
 		return c.Scope == ScopeAll || c.Scope == ScopeZone && s.Zone == o.zone ||
 			c.Scope == ScopeCell && s.Cell == o.cell
 	}
@@ -555,8 +556,7 @@
 		slow = min(slow, max(slow*2/3, Micros(2*took.usual)))
 	}
 	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > slow, n.rule.Dial, n.errors, n.asked) {
-		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts at %.1f ops/s", s.Server,
-			s.accepted.value)})
+		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts, %.1f/s", s.Server, s.accepted.value)})
 	}
 	on := signals[in.Outcome]
 	if on == mayHaveRun && o.risk == 0 {
