--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,7 +53,8 @@
 
 // mark counts an overload mark, and starts control where their rate passes the target (8.2.1): at
 // the lowest level of benefit that is asked for, and the rate lately accepted there. asked holds
-// the ops of each level that ask for one server in a LeakInterval.
+// the ops of each level that ask for one server in a LeakInterval; before the first beat tells them
+// the cut starts at the top, so as to hold at once what starts in overload (8.2.5 c).
 func (t *throttle) mark(now Micros, asked []float64) (started bool) {
 	t.marks.add(now)
 	t.quiet, t.marked = now, now
@@ -360,7 +361,6 @@
 	benefit := c.Benefit * n.share(in.Tenant)
 	o.level, _ = slices.BinarySearch(n.levels, benefit)
 	n.offered[o.level].add(n.now)
-	n.asked[o.level] = max(n.asked[o.level], math.SmallestNonzeroFloat64) // the next tick tells the rate
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	o.last = in.NotAfter - 2*n.place.Tick
 	within := c.Target
