--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -41,7 +41,7 @@
 		to: map[string]ServerID{}}
 }
 
-// servers is a list of ready servers a, b, ... each in a cell of its own but for every third.
+// servers is a list of ready servers a, b, ..., spread over three cells.
 func servers(n int) (list []Entry) {
 	for i := range n {
 		list = append(list, Entry{Server: ServerID(i + 1), Weight: 1, Cell: CellID(i % 3)})
--- a/policy/types.go
+++ b/policy/types.go
@@ -21,7 +21,7 @@
 	Token      uint32
 )
 
-// Effect of a repeat of an op.
+// Repeat says what a second run of an op does.
 type Repeat uint8
 
 const (
