--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -276,6 +276,9 @@
 		if e.State, found = states[state]; !found {
 			return fmt.Errorf("SNAPSHOT_ROWS: unknown availability %d", state)
 		}
+		if e.Weight <= 0 {
+			e.Weight = 1
+		}
 		entries = append(entries, e)
 	}
 	h.lists[list], h.known[list] = entries, true
--- a/policy/memory.go
+++ b/policy/memory.go
@@ -60,3 +60,10 @@
 	n.servers = append(n.servers, server{})
 	return int32(len(n.servers) - 1)
 }
+
+// fill adds rate a second, up to most, and returns what is left.
+func (a *tokens) fill(now Micros, rate, most float64) float64 {
+	a.left = min(most, a.left+rate*float64(now-a.at)/float64(Second))
+	a.at = now
+	return a.left
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,22 +24,21 @@
 	leakTicks   = 4           // LeakInterval, in ticks of the clock
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
-	stepDown    = 1.0 / 4     // the rate falls by this for each multiple of the target too much
-	stepUp      = 1.0 / 4     // and rises by up to this a step
+	step        = 1.0 / 4     // of the rate: down for each multiple of the target too much, up at the most
+	quietShare  = 1.0 / 8     // marks a push
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
 	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
-	fewPushes   = 2           // servers a node keeps to where connections are priced, for each push allowed
+	fewPushes   = 2           // servers in a node's rotation, for each push allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
-	againMost   = 16          // and how many may be saved up
-
-	beatToken = Token(0) // of the steering's timer; ops' tokens are never 0
 )
 
 // throttle is the overload control towards one server (clause 8.2).
 type throttle struct {
+	of                string // server, in the log
 	marks, accepted   rate
+	target            float64 // marks a second that control steers to
 	slow              float64 // share of recent answers past target latency
 	on                bool
 	cut               int
@@ -51,37 +50,28 @@
 	offered, rejected int
 }
 
+func newThrottle(of string, tick Micros) throttle {
+	return throttle{of: of, target: target, interval: leakTicks * tick}
+}
+
 // mark counts an overload mark, and starts control where their rate passes the target (8.2.1): at
-// the lowest level of benefit that is asked for, and the rate lately accepted there. asked holds
-// the ops of each level that ask for one server in a LeakInterval; before the first beat tells them
-// the cut starts at the top, so as to hold at once what starts in overload (8.2.5 c).
-func (t *throttle) mark(now Micros, asked []float64) (started bool) {
+// the lowest level of benefit, and the rate lately accepted.
+func (t *throttle) mark(now Micros) (log string) {
 	t.marks.add(now)
 	t.quiet, t.marked = now, now
-	if t.on || t.marks.read(now) <= target {
-		return false
+	if t.on || t.marks.read(now) <= t.target {
+		return ""
 	}
-	*t = throttle{marks: t.marks, accepted: t.accepted, slow: t.slow, on: true, interval: t.interval,
-		cut: -1, leaked: now, quiet: now, marked: now, since: now}
-	recent := max(t.accepted.whole(now), 2*target) * float64(t.interval) / float64(Second)
-	t.high, t.low = recent*loosest, recent*tightest
-	t.moveCut(1, asked)
-	t.leak = recent
-	return true
+	t.on, t.cut, t.count, t.leaked, t.since, t.offered, t.rejected = true, 0, fill, now, now, 0, 0
+	t.leak = max(t.accepted.whole(now), 2*target) * float64(t.interval) / float64(Second)
+	t.high, t.low = t.leak*loosest, t.leak*tightest
+	return fmt.Sprintf("control of %s starts, %.1f/s", t.of, t.accepted.value)
 }
 
-// moveCut moves the cut to the next level that is asked for, if there is one, with the count full.
-func (t *throttle) moveCut(by int, asked []float64) {
-	cut := t.cut + by
-	for cut >= 0 && cut < len(asked)-1 && asked[cut] == 0 {
-		cut += by
-	}
-	if cut < 0 || cut >= len(asked) {
-		return
-	}
-	t.cut, t.count, t.leak = cut, fill, t.high
-	if by < 0 {
-		t.leak = t.low
+// moveCut moves the cut to the next level, if there is one, with the count full.
+func (t *throttle) moveCut(by, levels int, leak float64) {
+	if cut := t.cut + by; cut >= 0 && cut < levels {
+		t.cut, t.count, t.leak = cut, fill, leak
 	}
 }
 
@@ -109,24 +99,30 @@
 
 // steer moves LeakAmount, faster the further marks are off target, then the cut (8.2.3, 8.2.5).
 // It ends control after endAfter with no mark and no rejection (8.2.4).
-func (t *throttle) steer(now Micros, asked []float64) (ended bool) {
-	if !t.on || now-t.quiet >= endAfter {
-		ended, t.on = t.on, false
-		return ended
+func (t *throttle) steer(now Micros, levels int) (log string) {
+	if !t.on {
+		return ""
+	}
+	if t.on = now-t.quiet < endAfter; !t.on {
+		return fmt.Sprintf("control of %s ends after %d ms, %d offered, %d rejected",
+			t.of, (now-t.since)/Millisecond, t.offered, t.rejected)
 	}
 	// Danger: after a burst of marks their rate stays high when none has come for long.
-	off := min(t.marks.read(now), float64(Second)/float64(max(beat, now-t.marked))) / target
+	off := t.marks.read(now) / t.target
+	if gap := now - t.marked; gap > beat {
+		off = min(off, float64(Second)/float64(gap)/t.target)
+	}
 	switch {
 	case off > 1 && t.leak > t.low:
-		t.leak = max(t.low, t.leak*max(0.5, 1-stepDown*(off-1)))
+		t.leak = max(t.low, t.leak*max(0.5, 1-step*(off-1)))
 	case off > 1:
-		t.moveCut(1, asked)
+		t.moveCut(1, levels, t.high)
 	case off < 1 && t.leak < t.high:
-		t.leak = min(t.high, t.leak*(1+stepUp*(1-off)))
+		t.leak = min(t.high, t.leak*(1+step*(1-off)))
 	case off < 1:
-		t.moveCut(-1, asked)
+		t.moveCut(-1, levels, t.low)
 	}
-	return false
+	return ""
 }
 
 // server is what the node knows of one server.
@@ -141,13 +137,13 @@
 	failures int     // in a row
 	heard    Micros  // last answer of any kind
 	down     Micros  // no push before this
-	far      bool    // not in this node's rotation
+	used     bool    // in this node's rotation
 	tried    uint64  // the round of pick that passed it over
+	part     tokens  // while cold: this node's part of what it can do
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now, sent Micros, how Outcome, slow bool, dial Micros, common float64,
-	asked []float64) (started bool) {
+func (s *server) observe(now, sent Micros, how Outcome, slow bool, dial Micros, common float64) (mark bool) {
 	if how == Acked || how == Errored {
 		s.heard = now
 		learn(&s.errors, number(how == Errored), shareMemory)
@@ -157,25 +153,25 @@
 		s.failures = 0
 		s.acks.add(now)
 		learn(&s.slow, number(slow), shareMemory)
-		return slow && s.slow > slowShare && s.mark(now, asked)
+		return slow && s.slow > slowShare
 	case Full:
-		return s.mark(now, asked)
+		return true
 	case TimedOut:
 		// Danger: a server that fell silent still looks free, and eats an op each turn.
 		if s.heard < sent {
 			s.fail(now, dial)
 		}
-		return s.mark(now, asked)
+		return true
 	case ConnectFailed, Reset:
 		s.fail(now, dial)
 	case Errored:
 		// Danger: a server that fails fast holds little and is fed by the rotation (sinkhole).
 		if s.errors > sinkhole && s.errors > 2*common {
 			s.fail(now, dial)
-		} else if common > errorShare {
-			// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
-			return s.mark(now, asked)
+			return false
 		}
+		// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
+		return common > errorShare
 	}
 	return false
 }
@@ -259,8 +255,7 @@
 	kinds     []Category
 	took      []answers // by category
 	levels    []float64 // distinct benefits, ascending
-	offered   []rate    // ops a second at each level
-	asked     []float64 // of them, for one server in a LeakInterval
+	offered   rate      // ops that came
 	shares    ShareRule
 	allowance []tokens // by tenant
 	servers   []server
@@ -268,12 +263,16 @@
 	ops       []op
 	free      []uint16
 	byOp      map[OpID]uint16
-	errors    float64 // share of recent answers of all servers that are errors
-	again     float64 // further pushes saved up
-	carry     float64 // acks a second of a warm server, over a longer time
-	round     uint64  // of pick
-	full      bool    // a server here turns ops away
-	strained  bool    // a server is under control
+	errors    float64  // share of recent answers of all servers that are errors
+	again     float64  // further pushes saved up
+	carry     float64  // acks a second of a warm server, over a longer time
+	bearable  float64  // pushes a second that a warm server of this node surely bears
+	round     uint64   // of pick
+	full      bool     // a server here turns ops away
+	all       throttle // of all servers together, while each is too quiet to be seen
+	up, out   float64  // servers in the rotation that are not down; pushes out
+	ring      []int32  // ready servers by id
+	moved     int      // exchanges so far
 	effects   []Effect
 }
 
@@ -283,12 +282,12 @@
 	rule.Max = min(rule.Max, mostPushes)
 	n := &Node{rng: rand.New(rand.NewSource(seed)), place: place, rule: rule, cold: cold, kinds: kinds,
 		registry: registry{RegistryRule: reg}, shares: shares, allowance: make([]tokens, len(shares.Quota)),
-		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{}, again: againMost}
+		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{},
+		all: newThrottle("all servers", place.Tick), again: 1 / againShare}
 	for i, c := range kinds {
-		// Danger: the first answers to come are the quick ones; time-outs taken from them alone
-		// would cut off the rest.
-		n.took[i] = answers{mean: float64(n.aim(&c)) / 4, dev: float64(n.aim(&c)) / 4,
-			usual: float64(n.aim(&c)) / 4}
+		// Danger: the first answers to come are the quick ones; time-outs from them alone cut off the rest.
+		start := float64(n.aim(&c)) / 4
+		n.took[i] = answers{mean: start, dev: start, usual: start}
 		n.levels = append(n.levels, c.Benefit)
 		if len(shares.Quota) > 0 {
 			n.levels = append(n.levels, c.Benefit*shares.Beyond)
@@ -296,7 +295,6 @@
 	}
 	slices.Sort(n.levels)
 	n.levels = slices.Compact(n.levels)
-	n.offered, n.asked = make([]rate, len(n.levels)), make([]float64, len(n.levels))
 	return n
 }
 
@@ -308,14 +306,14 @@
 		n.decide(n.take(in), arrives)
 	case PushEnded:
 		n.ended(in)
-	case OpAbandoned:
-		n.signal(in.Op, leaves)
-	case StreamBegan:
-		n.signal(in.Op, began)
+	case OpAbandoned, StreamBegan:
+		if p, found := n.byOp[in.Op]; found {
+			n.decide(&n.ops[p], [...]signal{OpAbandoned: leaves, StreamBegan: began}[in.Kind])
+		}
 	case ListCame:
 		n.follow(in)
 	case Woken:
-		if in.Token == beatToken {
+		if in.Token == 0 { // the steering's; ops' are never 0
 			n.tick()
 		} else if p := int(in.Token&0xffff) - 1; p < len(n.ops) && n.ops[p].life == uint16(in.Token>>16) {
 			n.decide(&n.ops[p], due)
@@ -326,9 +324,9 @@
 
 func (n *Node) emit(e Effect) { n.effects = append(n.effects, e) }
 
-func (n *Node) signal(id OpID, on signal) {
-	if p, found := n.byOp[id]; found {
-		n.decide(&n.ops[p], on)
+func (n *Node) log(text string) {
+	if text != "" {
+		n.emit(Effect{Kind: Log, Text: text})
 	}
 }
 
@@ -360,15 +358,10 @@
 	n.byOp[in.Op] = p
 	benefit := c.Benefit * n.share(in.Tenant)
 	o.level, _ = slices.BinarySearch(n.levels, benefit)
-	n.offered[o.level].add(n.now)
+	n.offered.add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
 	o.last = in.NotAfter - 2*n.place.Tick
-	within := c.Target
-	if n.strained {
-		// Danger: a call that its op cannot use any more holds a place in its caller's server.
-		within = n.part(c, n.place.Tiers)
-	}
-	o.goal = min(n.now+within-2*n.place.Tick, o.last)
+	o.goal = min(n.now+c.Target-2*n.place.Tick, o.last)
 	if c.Late > 0 {
 		o.goal = o.last // a late answer still has some benefit
 	} else if c.harmless() || n.place.Tier > 0 {
@@ -380,15 +373,11 @@
 // share is what an op's benefit counts, by this node's part of its tenant's quota. Danger: a tenant
 // whose nacked ops ask again would seem beyond its share; so only ops that are pushed use it up.
 func (n *Node) share(t TenantID) float64 {
-	if int(t) >= len(n.allowance) || n.place.Tier > 0 {
-		return 1
-	}
-	quota := n.shares.Quota[t] / float64(n.place.Nodes)
-	a := &n.allowance[t]
-	a.left = min(quota, a.left+quota*float64(n.now-a.at)/float64(Second))
-	a.at = n.now
-	if a.left < 1 {
-		return n.shares.Beyond
+	if int(t) < len(n.allowance) && n.place.Tier == 0 {
+		quota := n.shares.Quota[t] / float64(n.place.Nodes)
+		if n.allowance[t].fill(n.now, quota, quota) < 1 {
+			return n.shares.Beyond
+		}
 	}
 	return 1
 }
@@ -419,14 +408,17 @@
 	case o.risk > 0:
 		n.again--
 	case o.pushes == 0:
-		n.again = min(againMost, n.again+againShare)
+		n.again = min(1/againShare, n.again+againShare)
 		if int(o.tenant) < len(n.allowance) && n.allowance[o.tenant].left >= 1 {
 			n.allowance[o.tenant].left--
 		}
 		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
 	}
 	s.held++
+	n.out++
+	s.part.left--
 	s.accepted.add(n.now)
+	n.all.accepted.add(n.now)
 	o.to[o.pushes], o.sent[o.pushes] = i, n.now
 	o.pushes++
 	o.out++
@@ -437,19 +429,15 @@
 // pick is smooth weighted round robin over the servers that may take the op, in order of turn,
 // until a bucket admits it; -1 where none does.
 func (n *Node) pick(o *op) int32 {
-	held, up := 0, 0
-	for i := range n.servers {
-		if s := &n.servers[i]; !s.far && s.down <= n.now {
-			held += s.held
-			up++
-		}
-	}
-	mean := float64(held) / float64(max(1, up))
+	mean := n.out / max(1, n.up)
 	most, total := min(2*mean, mean+2), 0.0
 	n.round++
+	if !n.all.admit(n.now, o.level) {
+		return -1
+	}
 	for i := range n.servers {
 		s := &n.servers[i]
-		if !n.may(o, int32(i), most, up == 0) { // Danger: all look dead; one may be back
+		if !n.may(o, int32(i), most, n.up == 0) { // Danger: all look dead; one may be back
 			s.tried = n.round
 			continue
 		}
@@ -480,17 +468,19 @@
 // may says whether a server is in the rotation for the op.
 func (n *Node) may(o *op, i int32, most float64, anyway bool) bool {
 	s, c := &n.servers[i], &n.kinds[o.category]
-	if s.far || float64(s.held) > most {
+	// A repeat that is bound to its group may find a server there beyond this node's own.
+	bound := o.risk > 0 && c.Repeat == Deduplicated && c.Scope != ScopeAll
+	if s.State != Ready || !s.used && !bound || float64(s.held) > most {
 		return false
 	}
 	// An op that cannot go again is not for trying a server out.
 	if !anyway && (s.down > n.now || s.failures > 0 && (s.held > 0 || c.Repeat == AtMostOnce)) {
 		return false
 	}
-	// Danger: a cold server is pushed over by all nodes together: as its like are full or under
-	// control, or as all servers are cold. Pushes that it turns away count too.
+	// Danger: a cold server is pushed over by all nodes together, as its like are full or all are cold.
+	// Single ops of many nodes add up: a node whose part is under one op waits, from a random start.
 	if w := s.warmth(n.now, &n.cold); w < 1 && (float64(s.held) >= max(1, most*w) ||
-		n.carry > 0 && s.accepted.read(n.now) > max(target, w*n.carry*n.cold.Factor/2)) {
+		s.part.fill(n.now, w*n.bearable, 1) < 1) {
 		return false
 	}
 	if o.risk > 0 && c.Repeat == Deduplicated {
@@ -513,10 +503,7 @@
 	return n.drop(o)
 }
 
-func (n *Node) deadLetter(o *op) bool {
-	n.emit(Effect{Kind: DeadLetter, Op: o.id})
-	return n.drop(o)
-}
+func (n *Node) deadLetter(o *op) bool { n.emit(Effect{Kind: DeadLetter, Op: o.id}); return n.drop(o) }
 
 // drop calls back what is still out: nobody waits for it.
 func (n *Node) drop(o *op) bool {
@@ -540,6 +527,7 @@
 	o.to[in.Push] = -1
 	o.out--
 	s.held--
+	n.out--
 	if in.Outcome == Acked || in.Outcome == Errored {
 		learn(&n.errors, number(in.Outcome == Errored), 4*shareMemory)
 	}
@@ -555,8 +543,16 @@
 		// Danger: where queues are deep, servers jam long before answers pass target latency.
 		slow = min(slow, max(slow*2/3, Micros(2*took.usual)))
 	}
-	if s.observe(n.now, o.sent[in.Push], in.Outcome, in.Took > slow, n.rule.Dial, n.errors, n.asked) {
-		n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x starts, %.1f/s", s.Server, s.accepted.value)})
+	late := in.Outcome == Acked && in.Took > slow
+	if in.Outcome == Acked {
+		learn(&n.all.slow, number(late), shareMemory)
+	}
+	if s.observe(n.now, o.sent[in.Push], in.Outcome, late, n.rule.Dial, n.errors) ||
+		late && n.quiet() && n.all.slow > slowShare {
+		n.log(s.mark(n.now))
+		if n.quiet() {
+			n.log(n.all.mark(n.now))
+		}
 	}
 	on := signals[in.Outcome]
 	if on == mayHaveRun && o.risk == 0 {
@@ -565,44 +561,45 @@
 	if in.Settled {
 		on = answered
 	}
+	if s.down > n.now {
+		n.choose()
+	}
 	n.decide(o, on)
 }
 
-// part is what a tier has of target latency, split into so many parts: further down it is less.
-func (n *Node) part(c *Category, of int) Micros {
-	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(of)
-}
+// quiet says that servers see too little of this node for marks of one alone to tell.
+func (n *Node) quiet() bool { return n.all.accepted.whole(n.now) < 3*target*n.up }
 
-// aim is the time past which an answer is slow: one part is kept back for another push.
-func (n *Node) aim(c *Category) Micros { return n.part(c, n.place.Tiers+1) }
+// aim is the time past which an answer is slow: a tier's part of target latency, less further down,
+// with one part kept back for another push.
+func (n *Node) aim(c *Category) Micros {
+	return c.Target * Micros(n.place.Tiers-n.place.Tier) / Micros(n.place.Tiers+1)
+}
 
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
-	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: beatToken})
-	up := 0.0
-	for i := range n.servers {
-		up += number(!n.servers[i].far && n.servers[i].down <= n.now)
-	}
-	for l := range n.asked {
-		n.asked[l] = n.offered[l].read(n.now) / max(1, up) * float64(leakTicks*n.place.Tick) / float64(Second)
-	}
-	acks, warm, on := 0.0, 0.0, 0.0
+	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: 0})
+	acks, warm := 0.0, 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
-		on += number(s.on && !s.far)
-		if !s.far && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
+		n.log(s.steer(n.now, len(n.levels)))
+		if s.used && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
 			acks += s.acks.read(n.now)
 			warm++
 		}
-		if s.steer(n.now, n.asked) {
-			n.emit(Effect{Kind: Log, Text: fmt.Sprintf("control of %012x ends after %d ms, %d offered, %d rejected",
-				s.Server, (n.now-s.since)/Millisecond, s.offered, s.rejected)})
-		}
 	}
-	n.strained = on > 0
+	n.all.target = max(target, quietShare*n.all.accepted.whole(n.now))
+	n.log(n.all.steer(n.now, len(n.levels)))
+	if n.rng.Float64() < float64(beat)/float64(endAfter) {
+		n.moved++
+	}
+	n.choose()
 	if warm > 0 {
 		learn(&n.carry, acks/warm, float64(endAfter/beat))
 	}
+	if n.bearable = n.carry * n.cold.Factor / 2; n.carry == 0 {
+		n.bearable = n.offered.whole(n.now) / max(1, n.up) // nothing has come back yet: an even turn
+	}
 	if r := &n.registry; r.next > 0 && n.now >= r.next {
 		r.next = n.now + r.Within
 		n.emit(Effect{Kind: Watch})
@@ -627,38 +624,41 @@
 		}
 		s := &n.servers[i]
 		if !found || e.Started != s.Started {
-			*s = server{held: s.held, turn: -n.rng.Float64(), throttle: throttle{interval: leakTicks * n.place.Tick}}
-		}
-		if e.Weight <= 0 {
-			e.Weight = 1
+			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now},
+				throttle: newThrottle(fmt.Sprintf("%012x", e.Server), n.place.Tick)}
 		}
 		s.Entry = e
 	}
+	n.ring = n.ring[:0]
+	for i := range n.servers {
+		if n.servers[i].used = false; n.servers[i].State == Ready {
+			n.ring = append(n.ring, int32(i))
+		}
+	}
+	at := n.servers
+	slices.SortFunc(n.ring, func(a, b int32) int { return cmp.Compare(at[a].Server, at[b].Server) })
 	n.choose()
 	if in.Form == ListCached {
 		n.tick()
 	}
 }
 
-// choose limits the rotation to some of the servers where open connections have a price, and there
-// are many. Danger: connections from every node fill a server's table, take its capacity, and
-// those beyond its cap fail. Each node takes its run of the ids in order, so that all are used alike.
+// choose keeps the rotation to few servers. Danger: a node that spreads a little traffic over a large
+// fleet learns of no server, and connections from every node fill a server's table. It takes a run
+// of the ids in order, which tell nothing; nodes' runs start evenly apart, so that all servers are
+// used alike, and each moves by one from time to time. What is down is passed over while others last.
 func (n *Node) choose() {
-	var ready []int32
-	for i := range n.servers {
-		n.servers[i].far = n.servers[i].State != Ready
-		if !n.servers[i].far {
-			ready = append(ready, int32(i))
+	left, ring := fewPushes*n.rule.Max, n.ring
+	start := n.moved + n.place.Number*len(ring)/max(1, n.place.Nodes)
+	n.up = 0
+	for k := range 2 * len(ring) {
+		s := &n.servers[ring[(start+k)%len(ring)]]
+		if down := s.down > n.now; down == (k >= len(ring)) {
+			s.used = left > 0
+			left -= int(number(s.used))
+			n.up += number(s.used && !down)
 		}
 	}
-	few := fewPushes * n.rule.Max
-	if !n.rule.Few || len(ready) <= few {
-		return
-	}
-	slices.SortFunc(ready, func(a, b int32) int { return cmp.Compare(n.servers[a].Server, n.servers[b].Server) })
-	for r, i := range ready {
-		n.servers[i].far = (r-n.place.Number*few%len(ready)+len(ready))%len(ready) >= few
-	}
 }
 
 // harmless says that a client's new try never does harm, whatever ran.
