Accepted means accepted by the server: full and unconnected pushes no longer raise the rate

Cause: control started at the rate of pushes, so a node whose every op was turned away five times started its bucket at five times what servers took.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -417,8 +417,6 @@
 	s.held++
 	n.out++
 	s.part.left--
-	s.accepted.add(n.now)
-	n.all.accepted.add(n.now)
 	o.to[o.pushes], o.sent[o.pushes] = i, n.now
 	o.pushes++
 	o.out++
@@ -538,6 +536,10 @@
 			learn(&took.usual, min(float64(in.Took), 4*took.usual), 16*shareMemory)
 		}
 	}
+	if in.Outcome != Full && in.Outcome != ConnectFailed {
+		s.accepted.add(n.now)
+		n.all.accepted.add(n.now)
+	}
 	slow := n.aim(c)
 	if n.full = n.full || in.Outcome == Full; !n.full {
 		// Danger: where queues are deep, servers jam long before answers pass target latency.
