--- a/policy/policy.go
+++ b/policy/policy.go
@@ -592,9 +592,7 @@
 	}
 	n.all.target = max(target, quietShare*n.all.accepted.whole(n.now))
 	n.log(n.all.steer(n.now, len(n.levels)))
-	if n.rng.Float64() < float64(beat)/float64(endAfter) {
-		n.moved++
-	}
+	n.moved += int(number(n.rng.Float64() < float64(beat)/float64(endAfter))) // one exchange in that time
 	n.choose()
 	if warm > 0 {
 		learn(&n.carry, acks/warm, float64(endAfter/beat))
