--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,8 @@
 // Package policy makes every decision of a node: which server an op is pushed to, whether it is
 // pushed at all, again, or answered at once.
 //
-// New starts a Node from settings; call Step with each Input in the order it came, at a clock that
-// never goes back, and carry out the Effects returned before the next call. A Node is not for use
-// from several goroutines. The interface (Decider), inputs and effects are defined in types.go.
+// New starts a Node; call Step with each Input in order, at a clock that never goes back, and carry out the
+// Effects before the next call, from one goroutine. The interface (Decider) is defined in types.go.
 package policy
 
 import (
@@ -29,7 +28,6 @@
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
-	sinkhole    = 1.0 / 2     // share of errors past which a server alone in it is a sinkhole
 	fewPushes   = 2           // servers in a node's rotation, for each push allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 )
@@ -68,13 +66,6 @@
 	return fmt.Sprintf("control of %s starts, %.1f/s", t.of, t.accepted.value)
 }
 
-// moveCut moves the cut to the next level, if there is one, with the count full.
-func (t *throttle) moveCut(by, levels int, leak float64) {
-	if cut := t.cut + by; cut >= 0 && cut < levels {
-		t.cut, t.count, t.leak = cut, fill, leak
-	}
-}
-
 // admit passes an op by its benefit's level and, at the cut, by the type 3 bucket (8.2.2, 8.2.5).
 func (t *throttle) admit(now Micros, level int) bool {
 	if !t.on {
@@ -115,12 +106,12 @@
 	switch {
 	case off > 1 && t.leak > t.low:
 		t.leak = max(t.low, t.leak*max(0.5, 1-step*(off-1)))
-	case off > 1:
-		t.moveCut(1, levels, t.high)
+	case off > 1 && t.cut+1 < levels:
+		t.cut, t.count, t.leak = t.cut+1, fill, t.high
 	case off < 1 && t.leak < t.high:
 		t.leak = min(t.high, t.leak*(1+step*(1-off)))
-	case off < 1:
-		t.moveCut(-1, levels, t.low)
+	case off < 1 && t.cut > 0:
+		t.cut, t.count, t.leak = t.cut-1, fill, t.low
 	}
 	return ""
 }
@@ -131,7 +122,6 @@
 	throttle
 	held     int     // pushes out
 	turn     float64 // of the weighted rotation
-	acks     rate
 	pace     float64 // recent answer times, as a multiple of their categories'
 	errors   float64 // share of recent pushes that ended in an error
 	failures int     // in a row
@@ -143,17 +133,15 @@
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now, sent Micros, how Outcome, slow bool, dial Micros, common float64) (mark bool) {
+func (s *server) observe(now, sent Micros, how Outcome, dial Micros, common *float64) (mark bool) {
 	if how == Acked || how == Errored {
 		s.heard = now
 		learn(&s.errors, number(how == Errored), shareMemory)
+		learn(common, number(how == Errored), 4*shareMemory)
 	}
 	switch how {
 	case Acked:
 		s.failures = 0
-		s.acks.add(now)
-		learn(&s.slow, number(slow), shareMemory)
-		return slow && s.slow > slowShare
 	case Full:
 		return true
 	case TimedOut:
@@ -165,13 +153,13 @@
 	case ConnectFailed, Reset:
 		s.fail(now, dial)
 	case Errored:
-		// Danger: a server that fails fast holds little and is fed by the rotation (sinkhole).
-		if s.errors > sinkhole && s.errors > 2*common {
+		// Danger: a server that fails fast, over half the time, holds little and is fed by the rotation.
+		if s.errors > 1.0/2 && s.errors > 2**common {
 			s.fail(now, dial)
 			return false
 		}
 		// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
-		return common > errorShare
+		return *common > errorShare
 	}
 	return false
 }
@@ -184,21 +172,19 @@
 
 // warmth is the share of its capacity that the server surely has by now.
 func (s *server) warmth(now Micros, rule *ColdRule) float64 {
-	age := now - s.Started
-	if s.Started == 0 || age >= rule.Warm {
-		return 1
+	if age := max(0, now-s.Started); s.Started > 0 && age < rule.Warm {
+		return rule.From + (1-rule.From)*float64(age)/float64(rule.Warm)
 	}
-	return rule.From + (1-rule.From)*float64(max(0, age))/float64(rule.Warm)
+	return 1
 }
 
-// registry follows the list of servers where it must be asked.
 type registry struct {
 	RegistryRule
 	next, wait Micros // next call, 0 while subscribed; last wait after a failure
 }
 
-// Danger: the whole fleet may start, or lose the registry, together, and it is one small service:
-// calls are spread at random and back off.
+// heard plans the next call. Danger: the whole fleet may start, or lose the registry, together, and it is
+// one small service: calls are spread at random and back off.
 func (r *registry) heard(now Micros, form ListForm, rng *rand.Rand) {
 	if !r.Ask {
 		return
@@ -226,12 +212,9 @@
 	{fresh, arrives, (*Node).push, out},
 	{fresh, arrives, (*Node).nack, over},
 	{out, answered, (*Node).drop, over},
-	{out, neverRan, (*Node).push, out},
-	{out, neverRan, (*Node).nack, over},
-	{out, neverRan, (*Node).deadLetter, over},
-	{out, mayHaveRun, (*Node).push, out},
-	{out, mayHaveRun, (*Node).nack, over},
-	{out, mayHaveRun, (*Node).deadLetter, over},
+	{out, failed, (*Node).push, out},
+	{out, failed, (*Node).nack, over},
+	{out, failed, (*Node).deadLetter, over},
 	{out, due, (*Node).nack, over},
 	{out, due, (*Node).deadLetter, over},
 	{out, began, nil, streaming},
@@ -240,9 +223,8 @@
 	{streaming, leaves, (*Node).drop, over},
 }
 
-// signals gives each outcome's meaning to an op: only some prove that the push never ran.
-var signals = [...]signal{Acked: answered, Errored: mayHaveRun, Full: neverRan, TimedOut: mayHaveRun,
-	ConnectFailed: neverRan, Reset: mayHaveRun, Cancelled: mayHaveRun, Moot: neverRan}
+// neverRan holds the outcomes that prove it.
+var neverRan = [...]bool{Full: true, ConnectFailed: true, Moot: true}
 
 // Node decides for one balancer.
 type Node struct {
@@ -256,6 +238,7 @@
 	took      []answers // by category
 	levels    []float64 // distinct benefits, ascending
 	offered   rate      // ops that came
+	acks      rate
 	shares    ShareRule
 	allowance []tokens // by tenant
 	servers   []server
@@ -273,6 +256,7 @@
 	up, out   float64  // servers in the rotation that are not down; pushes out
 	ring      []int32  // ready servers by id
 	moved     int      // exchanges so far
+	beats     float64  // that carry remembers
 	effects   []Effect
 }
 
@@ -330,7 +314,6 @@
 	}
 }
 
-// decide reads the table.
 func (n *Node) decide(o *op, on signal) {
 	for i := range table {
 		if row := &table[i]; row.at == o.state && row.on == on && (row.do == nil || row.do(n, o)) {
@@ -481,11 +464,7 @@
 		s.part.fill(n.now, w*n.bearable, 1) < 1) {
 		return false
 	}
-	if o.risk > 0 && c.Repeat == Deduplicated {
-		return c.Scope == ScopeAll || c.Scope == ScopeZone && s.Zone == o.zone ||
-			c.Scope == ScopeCell && s.Cell == o.cell
-	}
-	return true
+	return !bound || c.Scope == ScopeZone && s.Zone == o.zone || c.Scope == ScopeCell && s.Cell == o.cell
 }
 
 // nack answers that a new try does no harm, where that is true.
@@ -520,15 +499,11 @@
 		return
 	}
 	o := &n.ops[p]
-	i := o.to[in.Push]
-	s, c, took := &n.servers[i], &n.kinds[o.category], &n.took[o.category]
+	s, took := &n.servers[o.to[in.Push]], &n.took[o.category]
 	o.to[in.Push] = -1
 	o.out--
 	s.held--
 	n.out--
-	if in.Outcome == Acked || in.Outcome == Errored {
-		learn(&n.errors, number(in.Outcome == Errored), 4*shareMemory)
-	}
 	if in.Outcome == Acked || in.Outcome == TimedOut {
 		learn(&s.pace, float64(in.Took)/took.mean, shareMemory)
 		took.learn(in.Took)
@@ -536,39 +511,60 @@
 			learn(&took.usual, min(float64(in.Took), 4*took.usual), 16*shareMemory)
 		}
 	}
-	if in.Outcome != Full && in.Outcome != ConnectFailed {
+	if !neverRan[in.Outcome] {
 		s.accepted.add(n.now)
 		n.all.accepted.add(n.now)
+		if o.risk == 0 {
+			o.risk, o.zone, o.cell = o.sent[in.Push], s.Zone, s.Cell
+		}
 	}
-	slow := n.aim(c)
-	if n.full = n.full || in.Outcome == Full; !n.full {
-		// Danger: where queues are deep, servers jam long before answers pass target latency.
-		slow = min(slow, max(slow*2/3, Micros(2*took.usual)))
-	}
-	late := in.Outcome == Acked && in.Took > slow
+	n.full = n.full || in.Outcome == Full
+	marked := o.late&(1<<in.Push) > 0 // while it was out
 	if in.Outcome == Acked {
-		learn(&n.all.slow, number(late), shareMemory)
-	}
-	if s.observe(n.now, o.sent[in.Push], in.Outcome, late, n.rule.Dial, n.errors) ||
-		late && n.quiet() && n.all.slow > slowShare {
-		n.log(s.mark(n.now))
-		if n.quiet() {
-			n.log(n.all.mark(n.now))
+		n.acks.add(n.now)
+		if !marked {
+			n.slow(s, in.Took > n.slowAfter(o))
 		}
 	}
-	on := signals[in.Outcome]
-	if on == mayHaveRun && o.risk == 0 {
-		o.risk, o.zone, o.cell = o.sent[in.Push], s.Zone, s.Cell
-	}
-	if in.Settled {
-		on = answered
+	if s.observe(n.now, o.sent[in.Push], in.Outcome, n.rule.Dial, &n.errors) && !marked {
+		n.mark(s)
 	}
 	if s.down > n.now {
 		n.choose()
 	}
+	on := answered
+	if in.Outcome != Acked && !in.Settled {
+		on = failed
+	}
 	n.decide(o, on)
 }
 
+// slowAfter is the time past which an answer is slow. Danger: where queues are deep, servers jam
+// long before answers pass target latency.
+func (n *Node) slowAfter(o *op) Micros {
+	aim := n.aim(&n.kinds[o.category])
+	if n.full {
+		return aim
+	}
+	return min(aim, max(aim*2/3, Micros(2*n.took[o.category].usual)))
+}
+
+// slow counts an answer as slow or not; a slow one is a mark while more than their share is.
+func (n *Node) slow(s *server, is bool) {
+	learn(&s.slow, number(is), shareMemory)
+	learn(&n.all.slow, number(is), shareMemory)
+	if is && (s.slow > slowShare || n.quiet() && n.all.slow > slowShare) {
+		n.mark(s)
+	}
+}
+
+func (n *Node) mark(s *server) {
+	n.log(s.throttle.mark(n.now))
+	if n.quiet() {
+		n.log(n.all.mark(n.now))
+	}
+}
+
 // quiet says that servers see too little of this node for marks of one alone to tell.
 func (n *Node) quiet() bool { return n.all.accepted.whole(n.now) < 3*target*n.up }
 
@@ -581,13 +577,19 @@
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
 	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: 0})
-	acks, warm := 0.0, 0.0
+	warm := 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
 		n.log(s.steer(n.now, len(n.levels)))
-		if s.used && s.down <= n.now && s.warmth(n.now, &n.cold) == 1 {
-			acks += s.acks.read(n.now)
-			warm++
+		warm += number(s.used && s.down <= n.now) * s.warmth(n.now, &n.cold)
+	}
+	// Danger: an answer that never comes says so late; one that is already slow does not wait for it.
+	for p := range n.ops {
+		for k, o := PushNo(0), &n.ops[p]; k < PushNo(o.pushes); k++ {
+			if o.to[k] >= 0 && o.late&(1<<k) == 0 && n.now-o.sent[k] > n.slowAfter(o) {
+				o.late |= 1 << k
+				n.slow(&n.servers[o.to[k]], true)
+			}
 		}
 	}
 	n.all.target = max(target, quietShare*n.all.accepted.whole(n.now))
@@ -595,7 +597,8 @@
 	n.moved += int(number(n.rng.Float64() < float64(beat)/float64(endAfter))) // one exchange in that time
 	n.choose()
 	if warm > 0 {
-		learn(&n.carry, acks/warm, float64(endAfter/beat))
+		n.beats = min(n.beats+1, float64(endAfter/beat))
+		learn(&n.carry, n.acks.read(n.now)/warm, n.beats)
 	}
 	if n.bearable = n.carry * n.cold.Factor / 2; n.carry == 0 {
 		n.bearable = n.offered.whole(n.now) / max(1, n.up) // nothing has come back yet: an even turn
@@ -643,10 +646,9 @@
 	}
 }
 
-// choose keeps the rotation to few servers. Danger: a node that spreads a little traffic over a large
-// fleet learns of no server, and connections from every node fill a server's table. It takes a run
-// of the ids in order, which tell nothing; nodes' runs start evenly apart, so that all servers are
-// used alike, and each moves by one from time to time. What is down is passed over while others last.
+// choose keeps the rotation to a run of the ids in order, which tell nothing. Danger: a node learns of no
+// server in a large fleet, and every node's connections fill a server's table. Runs start evenly apart, so
+// that all are used alike, and move by one from time to time. What is down is passed over while others last.
 func (n *Node) choose() {
 	left, ring := fewPushes*n.rule.Max, n.ring
 	start := n.moved + n.place.Number*len(ring)/max(1, n.place.Nodes)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -400,3 +400,25 @@
 	s.note("of 400 ops each half second, to a server cold at a quarter of its capacity, went %d", counts)
 	s.compare()
 }
+
+// Pushes that are overdue are marks while they are out: control starts before any of them ends, and once each.
+func TestOverdue(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(1))
+	s.quiet("well", func() { s.ops(50, 0, Acked) })
+	s.quiet("nothing comes back", func() {
+		for range 14 {
+			s.last++
+			s.op(s.last, 1)
+			s.wait(100 * Millisecond)
+		}
+	})
+	s.note("%.1f marks/s", s.node.servers[0].marks.read(s.now))
+	s.quiet("they time out", func() {
+		for op := s.last - 13; op <= s.last; op++ {
+			s.end(op, 0, TimedOut)
+		}
+	})
+	s.note("%.1f marks/s", s.node.servers[0].marks.read(s.now))
+	s.compare()
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -214,8 +214,7 @@
 const (
 	arrives signal = iota
 	answered
-	neverRan
-	mayHaveRun
+	failed
 	began
 	due
 	leaves
@@ -237,6 +236,7 @@
 	risk                 Micros // send time of the first push that may have run; 0: none
 	zone                 ZoneID // of the server it may have run at
 	cell                 CellID
+	late                 uint8             // bit of each push that was slow while out
 	to                   [mostPushes]int32 // server of each push still out, or -1
 	sent                 [mostPushes]Micros
 }
