--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,7 +28,7 @@
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
-	fewPushes   = 2           // servers in a node's rotation, for each push allowed
+	few         = 10          // servers in a node's rotation
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 )
 
@@ -583,10 +583,10 @@
 		n.log(s.steer(n.now, len(n.levels)))
 		warm += number(s.used && s.down <= n.now) * s.warmth(n.now, &n.cold)
 	}
-	// Danger: an answer that never comes says so late; one that is already slow does not wait for it.
+	// Danger: an answer that never comes says so late, and a quiet node has few others: overdue is slow.
 	for p := range n.ops {
 		for k, o := PushNo(0), &n.ops[p]; k < PushNo(o.pushes); k++ {
-			if o.to[k] >= 0 && o.late&(1<<k) == 0 && n.now-o.sent[k] > n.slowAfter(o) {
+			if n.quiet() && o.to[k] >= 0 && o.late&(1<<k) == 0 && n.now-o.sent[k] > n.slowAfter(o) {
 				o.late |= 1 << k
 				n.slow(&n.servers[o.to[k]], true)
 			}
@@ -650,7 +650,7 @@
 // server in a large fleet, and every node's connections fill a server's table. Runs start evenly apart, so
 // that all are used alike, and move by one from time to time. What is down is passed over while others last.
 func (n *Node) choose() {
-	left, ring := fewPushes*n.rule.Max, n.ring
+	left, ring := max(few, n.rule.Max), n.ring
 	start := n.moved + n.place.Number*len(ring)/max(1, n.place.Nodes)
 	n.up = 0
 	for k := range 2 * len(ring) {
