A tenant's part under one op a second is saved up; timers carry the op's id

Cause: a node's part of a quota was capped at one second of it; under one op a second no op of that tenant ever counted as inside its share. A timer names its op, not a slab place of 16 bits: more ops in hand than that no longer wrap.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -142,11 +142,9 @@
 	switch how {
 	case Acked:
 		s.failures = 0
-	case Full:
-		return true
-	case TimedOut:
+	case Full, TimedOut:
 		// Danger: a server that fell silent still looks free, and eats an op each turn.
-		if s.heard < sent {
+		if how == TimedOut && s.heard < sent {
 			s.fail(now, dial)
 		}
 		return true
@@ -244,8 +242,8 @@
 	servers   []server
 	byID      map[ServerID]int32
 	ops       []op
-	free      []uint16
-	byOp      map[OpID]uint16
+	free      []int32
+	byOp      map[OpID]int32
 	errors    float64  // share of recent answers of all servers that are errors
 	again     float64  // further pushes saved up
 	carry     float64  // acks a second of a warm server, over a longer time
@@ -256,6 +254,7 @@
 	up, out   float64  // servers in the rotation that are not down; pushes out
 	ring      []int32  // ready servers by id
 	moved     int      // exchanges so far
+	beatAt    Micros   // next beat of the steering
 	beats     float64  // that carry remembers
 	effects   []Effect
 }
@@ -266,7 +265,7 @@
 	rule.Max = min(rule.Max, mostPushes)
 	n := &Node{rng: rand.New(rand.NewSource(seed)), place: place, rule: rule, cold: cold, kinds: kinds,
 		registry: registry{RegistryRule: reg}, shares: shares, allowance: make([]tokens, len(shares.Quota)),
-		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]uint16{},
+		took: make([]answers, len(kinds)), byID: map[ServerID]int32{}, byOp: map[OpID]int32{},
 		all: newThrottle("all servers", place.Tick), again: 1 / againShare}
 	for i, c := range kinds {
 		// Danger: the first answers to come are the quick ones; time-outs from them alone cut off the rest.
@@ -297,9 +296,10 @@
 	case ListCame:
 		n.follow(in)
 	case Woken:
-		if in.Token == 0 { // the steering's; ops' are never 0
+		if n.now >= n.beatAt {
 			n.tick()
-		} else if p := int(in.Token&0xffff) - 1; p < len(n.ops) && n.ops[p].life == uint16(in.Token>>16) {
+		}
+		if p, found := n.byOp[OpID(in.Token)]; found && n.now > n.ops[p].last {
 			n.decide(&n.ops[p], due)
 		}
 	}
@@ -323,7 +323,6 @@
 	}
 	if o.state == over && o.out == 0 {
 		delete(n.byOp, o.id)
-		o.life++
 		n.free = append(n.free, o.place)
 	}
 }
@@ -331,13 +330,13 @@
 // take gives an arriving op a place in the slab.
 func (n *Node) take(in *Input) *op {
 	if len(n.free) == 0 {
-		n.free = append(n.free, uint16(len(n.ops)))
+		n.free = append(n.free, int32(len(n.ops)))
 		n.ops = append(n.ops, op{})
 	}
 	p := n.free[len(n.free)-1]
 	n.free = n.free[:len(n.free)-1]
 	o, c := &n.ops[p], &n.kinds[in.Category]
-	*o = op{id: in.Op, category: in.Category, tenant: in.Tenant, place: p, life: o.life}
+	*o = op{id: in.Op, category: in.Category, tenant: in.Tenant, place: p}
 	n.byOp[in.Op] = p
 	benefit := c.Benefit * n.share(in.Tenant)
 	o.level, _ = slices.BinarySearch(n.levels, benefit)
@@ -358,7 +357,7 @@
 func (n *Node) share(t TenantID) float64 {
 	if int(t) < len(n.allowance) && n.place.Tier == 0 {
 		quota := n.shares.Quota[t] / float64(n.place.Nodes)
-		if n.allowance[t].fill(n.now, quota, quota) < 1 {
+		if n.allowance[t].fill(n.now, quota, max(quota, fill)) < 1 {
 			return n.shares.Beyond
 		}
 	}
@@ -395,7 +394,7 @@
 		if int(o.tenant) < len(n.allowance) && n.allowance[o.tenant].left >= 1 {
 			n.allowance[o.tenant].left--
 		}
-		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.life)<<16 | Token(o.place+1)})
+		n.emit(Effect{Kind: Wake, At: o.last + n.place.Tick, Token: Token(o.id)})
 	}
 	s.held++
 	n.out++
@@ -576,7 +575,8 @@
 
 // tick steers every throttle and keeps the registry's subscription.
 func (n *Node) tick() {
-	n.emit(Effect{Kind: Wake, At: n.now + beat, Token: 0})
+	n.beatAt = n.now + beat
+	n.emit(Effect{Kind: Wake, At: n.beatAt})
 	warm := 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -266,7 +266,7 @@
 
 // A tenant beyond its share is worth less, and does not seem so by asking again after nacks.
 func TestShares(t *testing.T) {
-	s := start(t, pushed, ShareRule{Quota: []float64{40, 1000}, Beyond: 0.1}, safe)
+	s := start(t, pushed, ShareRule{Quota: []float64{40, 1000, 1}, Beyond: 0.1}, safe)
 	s.list(ListCached, servers(2))
 	for _, span := range []Micros{100, 40, 20} {
 		beyond := 0
@@ -283,6 +283,7 @@
 	s.list(ListWhole, nil)
 	s.quiet("ops every 10 ms, none pushed", func() { s.ops(50, 0, Acked) })
 	s.note("the next is worth %.1f", s.node.share(0))
+	s.note("and that of a tenant with an op in two seconds %.1f", s.node.share(2))
 	s.compare()
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -231,7 +231,7 @@
 	level                int
 	state                state
 	pushes, allowed, out uint8  // pushes made, allowed by benefit, still out
-	place, life          uint16 // in the slab; an earlier life's timer does not fire on this one
+	place                int32  // in the slab
 	goal, last           Micros // an answer past goal is worth nothing; one is given by last
 	risk                 Micros // send time of the first push that may have run; 0: none
 	zone                 ZoneID // of the server it may have run at
