--- a/policy/policy.go
+++ b/policy/policy.go
@@ -52,15 +52,14 @@
 	return throttle{of: of, target: target, interval: leakTicks * tick}
 }
 
-// mark counts an overload mark, and starts control where their rate passes the target (8.2.1): at
-// the lowest level of benefit, and the rate lately accepted.
-func (t *throttle) mark(now Micros) (log string) {
+// mark counts an overload mark, and starts control where their rate passes the target (8.2.1).
+func (t *throttle) mark(now Micros, cut int) (log string) {
 	t.marks.add(now)
 	t.quiet, t.marked = now, now
 	if t.on || t.marks.read(now) <= t.target {
 		return ""
 	}
-	t.on, t.cut, t.count, t.leaked, t.since, t.offered, t.rejected = true, 0, fill, now, now, 0, 0
+	t.on, t.cut, t.count, t.leaked, t.since, t.offered, t.rejected = true, cut, fill, now, now, 0, 0
 	t.leak = max(t.accepted.whole(now), 2*target) * float64(t.interval) / float64(Second)
 	t.high, t.low = t.leak*loosest, t.leak*tightest
 	return fmt.Sprintf("control of %s starts, %.1f/s", t.of, t.accepted.value)
@@ -199,8 +198,7 @@
 	}
 }
 
-// table holds the decisions on an op. The first row of its state and signal whose effect can be
-// had is taken.
+// table holds the decisions on an op: of its state and signal the first row whose effect can be had.
 var table = []struct {
 	at   state
 	on   signal
@@ -558,9 +556,11 @@
 }
 
 func (n *Node) mark(s *server) {
-	n.log(s.throttle.mark(n.now))
+	// Danger: a fleet that starts in overload jams before the cut has risen from below (8.2.5 c).
+	cut := int(number(n.beats <= float64(period/beat))) * (len(n.levels) - 1)
+	n.log(s.throttle.mark(n.now, cut))
 	if n.quiet() {
-		n.log(n.all.mark(n.now))
+		n.log(n.all.mark(n.now, cut))
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -240,10 +240,23 @@
 	s.compare()
 }
 
+// A node that sees marks before its memory is full refuses all but the highest benefit at once.
+func TestFirstCut(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(4))
+	for range 3 {
+		s.ops(1, 0, Full)
+	}
+	s.ops(1, 1, Acked)
+	s.note("cut %d", s.node.all.cut)
+	s.compare()
+}
+
 // Further pushes go by benefit, and those that add work are bounded for the whole node.
 func TestFurtherPushes(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
 	s.list(ListCached, servers(8))
+	s.quiet("well", func() { s.ops(400, 0, Acked) })
 	for c := range CategoryID(2) {
 		s.last++
 		s.op(s.last, c)
