--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,15 +24,15 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	step        = 1.0 / 4     // of the rate: down for each multiple of the target too much, up at the most
-	quietShare  = 1.0 / 8     // marks a push
+	quietShare  = 1.0 / 8     // marks an accepted push that the control of all servers steers to
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
 	shareMemory = 16          // recent answers, for a server's shares
-	few         = 10          // servers in a node's rotation
+	few         = 10          // servers in a node's rotation, and no fewer than the pushes allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 )
 
-// throttle is the overload control towards one server (clause 8.2).
+// throttle is the overload control towards one server, or all of a quiet node (clause 8.2).
 type throttle struct {
 	of                string // server, in the log
 	marks, accepted   rate
