--- a/policy/policy.go
+++ b/policy/policy.go
@@ -586,7 +586,7 @@
 	// Danger: an answer that never comes says so late, and a quiet node has few others: overdue is slow.
 	for p := range n.ops {
 		for k, o := PushNo(0), &n.ops[p]; k < PushNo(o.pushes); k++ {
-			if n.quiet() && o.to[k] >= 0 && o.late&(1<<k) == 0 && n.now-o.sent[k] > n.slowAfter(o) {
+			if o.to[k] >= 0 && o.late&(1<<k) == 0 && n.quiet() && n.now-o.sent[k] > n.slowAfter(o) {
 				o.late |= 1 << k
 				n.slow(&n.servers[o.to[k]], true)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -86,6 +86,15 @@
 	}
 }
 
+// play sends an op and ends each of its pushes at once, as how says, until none is out.
+func (s *script) play(category CategoryID, how func(to ServerID) Outcome) {
+	s.last++
+	s.op(s.last, category)
+	for s.inHand() {
+		s.end(s.last, PushNo(s.node.ops[s.node.byOp[s.last]].pushes-1), how(s.to[id(s.last)]))
+	}
+}
+
 // A timer of an op that is over does not end the next one in its place.
 func TestReusedPlace(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
@@ -204,15 +213,12 @@
 	s.list(ListCached, servers(4))
 	fail := func(n int, bad func(ServerID) bool) {
 		for range n {
-			s.last++
-			s.op(s.last, 0)
-			for s.inHand() {
-				how := Acked
-				if bad(s.to[id(s.last)]) {
-					how = Errored
+			s.play(0, func(to ServerID) Outcome {
+				if bad(to) {
+					return Errored
 				}
-				s.end(s.last, PushNo(s.node.ops[0].pushes-1), how)
-			}
+				return Acked
+			})
 			s.wait(10 * Millisecond)
 		}
 	}
@@ -258,19 +264,11 @@
 	s.list(ListCached, servers(8))
 	s.quiet("well", func() { s.ops(400, 0, Acked) })
 	for c := range CategoryID(2) {
-		s.last++
-		s.op(s.last, c)
-		for s.inHand() {
-			s.end(s.last, PushNo(s.node.ops[0].pushes-1), Full)
-		}
+		s.play(c, func(ServerID) Outcome { return Full })
 	}
 	s.quiet("twenty ops, all pushes reset", func() {
 		for range 20 {
-			s.last++
-			s.op(s.last, 0)
-			for s.inHand() {
-				s.end(s.last, PushNo(s.node.ops[0].pushes-1), Reset)
-			}
+			s.play(0, func(ServerID) Outcome { return Reset })
 		}
 	})
 	s.note("%.1f further pushes left", s.node.again)
@@ -323,15 +321,12 @@
 	s.quiet("forty ops", func() { s.ops(40, 0, Acked) })
 	s.quiet("ten ops that connect to none of these", func() {
 		for range 10 {
-			s.last++
-			s.op(s.last, 0)
-			for s.inHand() {
-				how := ConnectFailed
-				if s.to[id(s.last)] < 11 {
-					how = Acked
+			s.play(0, func(to ServerID) Outcome {
+				if to < 11 {
+					return Acked
 				}
-				s.end(s.last, PushNo(s.node.ops[0].pushes-1), how)
-			}
+				return ConnectFailed
+			})
 		}
 	})
 	s.wait(20 * Second)
--- a/policy/types.go
+++ b/policy/types.go
@@ -66,7 +66,6 @@
 	Cancel     bool
 	Dial       Micros // a connection not open within this time has failed
 	RetryAfter Micros // the longest that a client heeds; 0 where clients take no advice
-
 }
 
 // ColdRule holds the rule on servers that have just started.
