--- /dev/null
+++ b/cmd/canvasrouter/main.go
@@ -0,0 +1,105 @@
+// Command canvasrouter is one node: a load balancer for services that call services, at any tier.
+package main
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
+
+	"canvasrouter/internal/clients"
+	"canvasrouter/internal/config"
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/registry"
+	"canvasrouter/internal/servers"
+	"canvasrouter/internal/sockets"
+)
+
+// logLines is how many lines may wait to be written; past that the oldest are lost, and no op waits for one.
+const logLines = 4096
+
+func main() {
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "canvasrouter:", err)
+		os.Exit(2)
+	}
+	lines := diode.NewWriter(os.Stderr, logLines, 0, func(lost int) {
+		fmt.Fprintln(os.Stderr, "canvasrouter: log lines lost:", lost)
+	})
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger().Level(zerolog.InfoLevel)
+	err = run(c, log)
+	if err != nil {
+		log.Error().Err(err).Msg("node ends")
+	}
+	lines.Close()
+	if err != nil {
+		os.Exit(1)
+	}
+}
+
+func run(c *config.Config, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is stacks and what the kernel counts
+
+	forClients, forServers, forRegistry := sockets.Split(c.Sockets)
+	clock := node.NewClock()
+	actor := node.New(c.Rules.NewNode(c.Seed), clock, log.With().Str("part", "node").Logger())
+	list := registry.New(registry.Options{Addr: c.Discovery, Zones: c.Names.Zones, Kinds: c.Names.Kinds,
+		Unasked: !c.Rules.Registry.Ask, Again: time.Second}, forRegistry,
+		log.With().Str("part", "registry").Logger())
+	known, err := list.Known(c.Known)
+	if err != nil {
+		return err
+	}
+	pool := servers.New(servers.Options{Dial: span(c.Rules.Push.Dial), IdleClose: c.IdleClose,
+		MostOut: forClients.Size() * c.Rules.Push.Max}, forServers,
+		log.With().Str("part", "servers").Logger(), actor.Ended)
+	options := clients.Options{Categories: c.Names.Categories, Tenants: c.Names.Tenants}
+	for _, category := range c.Rules.Categories {
+		options.Longest = max(options.Longest, span(category.TTL))
+	}
+	front, err := clients.Listen(c.Listen, options, forClients, actor, clock,
+		log.With().Str("part", "clients").Logger())
+	if err != nil {
+		return fmt.Errorf("config: key listen: %w", err)
+	}
+
+	terminate, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stopSignals()
+	working, stop := context.WithCancel(context.Background())
+	defer stop()
+	actor.Start(pool, list, known)
+	worked := make(chan error, 1)
+	go func() { worked <- actor.Run(working) }()
+	go list.Run(working, actor.Listed)
+	served := make(chan error, 1)
+	go func() { served <- front.Serve() }()
+	log.Info().Str("listen", c.Listen).Int("tier", c.Rules.Place.Tier).Int("servers", len(known.Entries)).
+		Int("sockets", c.Sockets).Msg("node starts")
+
+	select {
+	case <-terminate.Done():
+		log.Info().Msg("planned restart: draining")
+		front.Drain(served)
+		log.Info().Msg("drained")
+		return nil
+	case err := <-served:
+		return fmt.Errorf("clients: %w", err)
+	case err := <-worked:
+		front.Drain(served) // the answers of what was in hand go out
+		return err
+	}
+}
+
+// span is a time of the module's as the libraries take it.
+func span[T ~int64](micros T) time.Duration { return time.Duration(micros) * time.Microsecond }
--- /dev/null
+++ b/internal/clients/clients.go
@@ -0,0 +1,251 @@
+// Package clients takes ops from clients over net/http and gives each its one final answer.
+package clients
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	stdlog "log"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/sockets"
+	"canvasrouter/policy"
+)
+
+const (
+	readyPath       = "/-/ready"
+	idHeader        = "X-Txn"
+	remainingHeader = "X-Remaining-Ms"
+	repeatedHeader  = "X-Resent"
+	tenantHeader    = "X-Org"
+	labelsHeader    = "X-Labels"
+	tenantLabel     = "org"
+
+	headerWait     = 10 * time.Second // for a request's header, once it has begun
+	idleWait       = 2 * time.Minute  // between two requests
+	writeWait      = 2 * time.Second  // for an answer, past the client's own wait
+	mostHeader     = 64 << 10
+	longestWait    = time.Hour
+	statusNack     = http.StatusServiceUnavailable
+	statusDead     = http.StatusBadGateway
+	statusInternal = http.StatusInternalServerError
+)
+
+// Actor is the module's actor, as a client's side sees it.
+type Actor interface {
+	Arrive(*node.Op)
+	Abandon(*node.Op)
+}
+
+// Options are what the settings say of clients.
+type Options struct {
+	Categories, Tenants []string
+	Longest             time.Duration // TTL of any category: no op is in hand for longer
+}
+
+// Server takes ops.
+type Server struct {
+	options  Options
+	actor    Actor
+	clock    *node.Clock
+	log      zerolog.Logger
+	http     *http.Server
+	listener *listener
+	idle     idlers
+	draining atomic.Bool
+}
+
+// Listen opens the listener; Serve answers on it.
+func Listen(addr string, options Options, part *sockets.Part, actor Actor, clock *node.Clock,
+	log zerolog.Logger) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{options: options, actor: actor, clock: clock, log: log,
+		listener: newListener(l.(*net.TCPListener), part)}
+	part.OnShort(s.idle.shed)
+	s.http = &http.Server{
+		Handler:                      s,
+		ReadHeaderTimeout:            headerWait,
+		IdleTimeout:                  idleWait,
+		MaxHeaderBytes:               mostHeader,
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     stdlog.New(log.With().Str("from", "net/http").Logger(), "", 0),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.idle.set(c, state == http.StateIdle)
+		},
+	}
+	return s, nil
+}
+
+// Serve answers until Drain has closed the listener.
+func (s *Server) Serve() error {
+	err := s.http.Serve(s.listener)
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Drain loses nothing taken: new connections are taken and served for a while, with answers that close them,
+// then the listener closes and ops in hand are finished. Serve must be over, or end by it.
+func (s *Server) Drain(served <-chan error) {
+	ctx, cancel := context.WithTimeout(context.Background(), linger+s.options.Longest)
+	defer cancel()
+	s.draining.Store(true)
+	s.listener.drain()
+	<-served
+	if s.http.Shutdown(ctx) != nil {
+		s.http.Close()
+	}
+}
+
+// ServeHTTP takes one op. There is no mux: it would clean paths and redirect.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	var op *node.Op
+	defer func() {
+		switch v := recover(); v {
+		case nil:
+		case http.ErrAbortHandler:
+			panic(v)
+		default:
+			// Danger: the library would end the connection, and the op would be lost.
+			s.log.Error().Interface("panic", v).Msg("client's side")
+			if op != nil {
+				s.actor.Abandon(op)
+			}
+			w.WriteHeader(statusInternal)
+		}
+	}()
+	if r.URL.Path == readyPath {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	op, status, reason := s.read(w, r)
+	if op == nil {
+		s.log.Debug().Int("status", status).Str("reason", reason).Msg("bad request")
+		http.Error(w, reason, status)
+		return
+	}
+	s.actor.Arrive(op)
+	var answer node.Answer
+	select {
+	case answer = <-op.Answered():
+	case <-r.Context().Done():
+		s.actor.Abandon(op)
+		answer = <-op.Answered()
+	}
+	s.write(w, answer)
+}
+
+// read takes an op out of a request, or says what is wrong with it.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (op *node.Op, status int, reason string) {
+	category, found := s.category(r.RequestURI)
+	if !found {
+		return nil, http.StatusNotFound, "no such category"
+	}
+	if r.Header.Get(idHeader) == "" {
+		return nil, http.StatusBadRequest, idHeader + " is missing"
+	}
+	remaining, err := strconv.ParseInt(r.Header.Get(remainingHeader), 10, 64)
+	if err != nil || remaining < 0 || remaining > longestWait.Milliseconds() {
+		return nil, http.StatusBadRequest, remainingHeader + " is not a time in whole milliseconds"
+	}
+	tenant, err := s.tenant(r.Header)
+	if err != nil {
+		return nil, http.StatusBadRequest, err.Error()
+	}
+	if r.ContentLength > node.MostBody {
+		w.Header().Set("Connection", "close")
+		return nil, http.StatusRequestEntityTooLarge, "body is too long"
+	}
+	wait := time.Duration(remaining) * time.Millisecond
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(wait + writeWait)) // a body that never comes
+	body, err := node.ReadPayload(r.Body)
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		if errors.Is(err, node.ErrTooLong) {
+			return nil, http.StatusRequestEntityTooLarge, "body is too long"
+		}
+		return nil, http.StatusBadRequest, "body is cut short"
+	}
+	// The op's time begins at its last byte.
+	now := s.clock.Now()
+	control.SetReadDeadline(time.Time{}) // or it would look as if the client had left
+	control.SetWriteDeadline(time.Now().Add(wait + writeWait))
+	op = node.NewOp()
+	op.Request = node.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
+	op.Category, op.Tenant = category, tenant
+	op.NotAfter = now + policy.Micros(remaining)*policy.Millisecond
+	op.Repeated = r.Header.Get(repeatedHeader) == "1"
+	return op, 0, ""
+}
+
+// category is named by the first part of the path.
+func (s *Server) category(target string) (policy.CategoryID, bool) {
+	rest, found := strings.CutPrefix(target, "/")
+	if end := strings.IndexAny(rest, "/?"); end >= 0 {
+		rest = rest[:end]
+	}
+	i := slices.Index(s.options.Categories, rest)
+	return policy.CategoryID(max(i, 0)), found && i >= 0
+}
+
+// tenant is named, or numbered as in the settings, by a header of its own or among the labels.
+func (s *Server) tenant(header http.Header) (policy.TenantID, error) {
+	word := header.Get(tenantHeader)
+	for label := range strings.SplitSeq(header.Get(labelsHeader), ",") {
+		if name, value, _ := strings.Cut(strings.TrimSpace(label), "="); word == "" && name == tenantLabel {
+			word = value
+		}
+	}
+	if word == "" || len(s.options.Tenants) == 0 {
+		return 0, nil
+	}
+	i := slices.Index(s.options.Tenants, word)
+	if number, err := strconv.Atoi(word); i < 0 && err == nil {
+		i = number
+	}
+	if i < 0 || i >= len(s.options.Tenants) {
+		return 0, fmt.Errorf("no such tenant: %q", word)
+	}
+	return policy.TenantID(i), nil
+}
+
+func (s *Server) write(w http.ResponseWriter, answer node.Answer) {
+	defer answer.Body.Release()
+	switch answer.Verdict {
+	case node.Acked:
+		header := w.Header()
+		for name, values := range answer.Header {
+			header[name] = values
+		}
+		header.Set("Content-Length", strconv.Itoa(len(answer.Body.Bytes())))
+		w.WriteHeader(http.StatusOK)
+		w.Write(answer.Body.Bytes())
+	case node.Nacked:
+		if answer.RetryAfter > 0 {
+			seconds := float64(answer.RetryAfter) / float64(policy.Second)
+			w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
+		}
+		w.WriteHeader(statusNack)
+	case node.DeadLettered:
+		w.WriteHeader(statusDead)
+	case node.Left:
+		panic(http.ErrAbortHandler) // nobody to answer
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,164 @@
+// Package config is the one place where a node's configuration is read, checked and given defaults. Every
+// error names the key at fault.
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"canvasrouter/policy"
+)
+
+const (
+	defaultCores    = 1
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	fewestSockets   = 64
+	leastMemoryMB   = 32
+)
+
+// Config is all that a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where clients connect
+	Discovery string // the registry
+	Seed      uint64
+	Cores     float64
+	MemoryMB  int
+	Sockets   int
+	Known     json.RawMessage // the list as the node last had it, in the registry's form
+	Rules     *Rules
+	Names     Names
+	IdleClose time.Duration // a server closes a connection that was idle for this long
+}
+
+// Names are the words of the settings, by the number that the module knows them by.
+type Names struct {
+	Categories, Tenants, Zones, Kinds []string
+}
+
+// document is the file's form.
+type document struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    *float64 `json:"cores"`
+		MemoryMB *int     `json:"memory_mb"`
+		Sockets  *int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN and NODE_DISCOVERY stand in for keys that
+// the file leaves out.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("config: NODE_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: NODE_CONFIG: %w", err)
+	}
+	c, err := parse(raw, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+func parse(raw []byte, getenv func(string) string) (*Config, error) {
+	var d document
+	if err := json.Unmarshal(raw, &d); err != nil {
+		var kind *json.UnmarshalTypeError
+		if errors.As(err, &kind) {
+			return nil, fmt.Errorf("key %s: a %s can't be used here", kind.Field, kind.Value)
+		}
+		return nil, fmt.Errorf("not JSON: %w", err)
+	}
+	c := &Config{
+		Name:      or(d.Name, getenv("NODE_NAME")),
+		Listen:    or(d.Listen, getenv("NODE_LISTEN")),
+		Discovery: or(d.Discovery, getenv("NODE_DISCOVERY")),
+		Known:     d.Known,
+		Cores:     orDefault(d.Limits.Cores, defaultCores),
+		MemoryMB:  orDefault(d.Limits.MemoryMB, defaultMemoryMB),
+		Sockets:   orDefault(d.Limits.Sockets, defaultSockets),
+	}
+	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
+		return nil, fmt.Errorf("key listen: %w", err)
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return nil, fmt.Errorf("key discovery: %w", err)
+	}
+	if d.Seed != "" {
+		seed, err := strconv.ParseUint(d.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("key seed: %q is no hexadecimal number of 64 bits", d.Seed)
+		}
+		c.Seed = seed
+	}
+	switch {
+	case !(c.Cores > 0):
+		return nil, fmt.Errorf("key limits.cores: %v is not above 0", c.Cores)
+	case c.MemoryMB < leastMemoryMB:
+		return nil, fmt.Errorf("key limits.memory_mb: %d is under %d", c.MemoryMB, leastMemoryMB)
+	case c.Sockets < fewestSockets:
+		return nil, fmt.Errorf("key limits.sockets: %d is under %d", c.Sockets, fewestSockets)
+	case len(d.Settings) == 0:
+		return nil, errors.New("key settings is missing")
+	}
+	s := fromJSON(d.Settings)
+	c.Rules = s.rules()
+	c.IdleClose = time.Duration(Micros(s.numberOr("limits.idle_close", 0))) * time.Microsecond
+	c.Names = Names{Categories: s.names("categories"), Tenants: s.names("tenants"),
+		Zones: s.list("failure_domains"), Kinds: s.list("kinds")}
+	s.check(c.Rules)
+	return c, s.err
+}
+
+// check refuses values that no node could run with.
+func (s *settings) check(r *Rules) {
+	for _, rule := range []struct {
+		key string
+		bad bool
+	}{
+		{"tier", r.Place.Tier < 0 || r.Place.Tier >= r.Place.Tiers},
+		{"fleet_size", r.Place.Nodes < 1},
+		{"slot_no", r.Place.Number < 0},
+		{"tick", r.Place.Tick < 1},
+		{"limits.max_pushes", r.Push.Max < 1},
+		{"limits.dial_timeout", r.Push.Dial < policy.Millisecond},
+	} {
+		if rule.bad {
+			s.fail("setting %s is out of range: %q", rule.key, s.pairs[rule.key])
+		}
+	}
+	for i, c := range r.Categories {
+		if c.TTL <= 0 || c.Target <= 0 || c.Target > c.TTL {
+			s.fail("setting categories.%d.target_latency or ttl is out of range", i)
+		}
+	}
+}
+
+func or(value, fallback string) string {
+	if value != "" {
+		return value
+	}
+	return fallback
+}
+
+func orDefault[T any](value *T, fallback T) T {
+	if value != nil {
+		return *value
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,310 @@
+// Package node is the module's actor: it alone calls Step and alone settles an op. It decides nothing.
+//
+// Clients' and servers' sides write to its mailbox and may wait there; the actor never waits for them. An op's
+// answer has a place of its own, and pushes and watches are handed over without waiting.
+package node
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/policy"
+)
+
+// mailbox is how many messages may stand before the actor. A writer that finds it full waits; it is a goroutine
+// of one op or one push, and holds up nothing else.
+const mailbox = 256
+
+// batch is how many messages are read before timers are looked at again.
+const batch = 64
+
+// Node is the actor.
+type Node struct {
+	module   policy.Decider
+	clock    *Clock
+	servers  Servers
+	registry Registry
+	log      zerolog.Logger
+	mail     chan any
+	stopped  chan struct{}
+
+	ops     map[policy.OpID]*Op
+	last    policy.OpID
+	now     policy.Micros // of the last step
+	timers  timers
+	pending []policy.Input // that effects made; the module is not called inside its own effects
+}
+
+type (
+	arrived struct{ op *Op }
+	left    struct{ op *Op }
+	ended   struct {
+		push   *Push
+		result Result
+		at     policy.Micros
+	}
+)
+
+// New makes the actor. Start must follow before Run.
+func New(module policy.Decider, clock *Clock, log zerolog.Logger) *Node {
+	return &Node{module: module, clock: clock, log: log, mail: make(chan any, mailbox),
+		stopped: make(chan struct{}), ops: make(map[policy.OpID]*Op)}
+}
+
+// Start names those that the actor hands over to, and gives the module its first list.
+func (n *Node) Start(servers Servers, registry Registry, known *List) {
+	n.servers, n.registry = servers, registry
+	n.listed(known)
+}
+
+// Arrive hands over an op. Its answer comes in any case.
+func (n *Node) Arrive(op *Op) {
+	n.send(arrived{op}, func() { op.answer <- Answer{Verdict: DeadLettered} })
+}
+
+// Abandon says that the op's client has left. The answer still comes, to be thrown away.
+func (n *Node) Abandon(op *Op) { n.send(left{op}, func() {}) }
+
+// Ended ends a push.
+func (n *Node) Ended(push *Push, result Result) {
+	n.send(ended{push, result, n.clock.Now()}, result.Body.Release)
+}
+
+// Listed hands over what the registry told.
+func (n *Node) Listed(list *List) { n.send(list, func() {}) }
+
+func (n *Node) send(message any, otherwise func()) {
+	select {
+	case n.mail <- message:
+	case <-n.stopped:
+		otherwise()
+	}
+}
+
+// Run works until ctx is done. A panic of the module ends it: what is in hand is dead-lettered, since nobody
+// knows any more what may be promised.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("module: panic: %v\n%s", r, debug.Stack())
+		}
+		n.stop()
+	}()
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		if len(n.timers.heap) > 0 {
+			alarm.Reset(max(0, n.clock.Until(n.timers.heap[0].at)))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-n.mail:
+			n.receive(m)
+		case <-alarm.C:
+		}
+		n.drain()
+		for t := n.timers.due(n.clock.Now()); t != nil; t = n.timers.due(n.clock.Now()) {
+			t.fire()
+		}
+	}
+}
+
+// drain reads what has already come. An answer in the mailbox goes before a time-out that is due.
+func (n *Node) drain() {
+	for range batch {
+		select {
+		case m := <-n.mail:
+			n.receive(m)
+		default:
+			return
+		}
+	}
+}
+
+// stop answers everything in hand and in the mailbox; nobody waits for ever.
+func (n *Node) stop() {
+	close(n.stopped)
+	for _, op := range n.ops {
+		for _, push := range op.pushes {
+			push.cancel()
+		}
+		n.settle(op, Answer{Verdict: DeadLettered})
+	}
+	for {
+		select {
+		case m := <-n.mail:
+			switch m := m.(type) {
+			case arrived:
+				m.op.answer <- Answer{Verdict: DeadLettered}
+			case ended:
+				m.result.Body.Release()
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) receive(m any) {
+	switch m := m.(type) {
+	case arrived:
+		n.arrive(m.op)
+	case left:
+		n.abandon(m.op)
+	case ended:
+		n.end(m.push, m.result, m.at-m.push.sent)
+	case *List:
+		n.listed(m)
+	}
+}
+
+func (n *Node) arrive(op *Op) {
+	for n.last++; n.last == 0 || n.ops[n.last] != nil; n.last++ {
+		// 0 is the token of the module's own beat, and an id in hand is not given twice.
+	}
+	op.id = n.last
+	n.ops[op.id] = op
+	// The module answers well before; this is the end of the wait should it ever not.
+	op.overdue = n.timers.set(op.NotAfter, func() {
+		n.log.Error().Uint32("op", uint32(op.id)).Msg("op overdue, dead-lettered")
+		n.settle(op, Answer{Verdict: DeadLettered})
+		n.step(&policy.Input{Kind: policy.OpAbandoned, Op: op.id})
+		n.forget(op)
+	})
+	n.step(&policy.Input{Kind: policy.OpArrived, Op: op.id, Category: op.Category, Tenant: op.Tenant,
+		NotAfter: op.NotAfter, Repeated: op.Repeated})
+}
+
+func (n *Node) abandon(op *Op) {
+	if op.settled {
+		return
+	}
+	n.settle(op, Answer{Verdict: Left})
+	n.step(&policy.Input{Kind: policy.OpAbandoned, Op: op.id})
+	n.forget(op)
+}
+
+// end tells the module how a push ended, once. The first acked one is the op's answer; what comes later is
+// reported as settled and answers nobody.
+func (n *Node) end(push *Push, result Result, took policy.Micros) {
+	if push.ended {
+		result.Body.Release()
+		return
+	}
+	op := push.op
+	push.ended = true
+	op.out--
+	n.timers.stop(push.timeout)
+	push.cancel()
+	if result.Outcome == policy.Acked && !op.settled {
+		n.settle(op, Answer{Verdict: Acked, Header: result.Header, Body: result.Body})
+	} else {
+		result.Body.Release()
+	}
+	n.step(&policy.Input{Kind: policy.PushEnded, Op: op.id, Push: push.no, Server: push.Server,
+		Outcome: result.Outcome, Took: max(0, took), Settled: op.settled})
+	n.forget(op)
+}
+
+func (n *Node) listed(list *List) {
+	n.servers.Follow(list)
+	n.step(&policy.Input{Kind: policy.ListCame, Form: list.Form, List: list.Entries})
+}
+
+// settle gives the op its one final answer.
+func (n *Node) settle(op *Op, answer Answer) {
+	if op.settled {
+		answer.Body.Release()
+		return
+	}
+	op.settled = true
+	n.timers.stop(op.overdue)
+	op.answer <- answer
+	op.Body.Release() // pushes still out hold it for themselves
+}
+
+// forget lets an op go once it is settled and no push of it is out.
+func (n *Node) forget(op *Op) {
+	if op.settled && op.out == 0 {
+		delete(n.ops, op.id)
+	}
+}
+
+// step calls the module, and again for what its effects made, at a clock that never goes back.
+func (n *Node) step(in *policy.Input) {
+	n.now = max(n.now, n.clock.Now())
+	for _, e := range n.module.Step(n.now, in) {
+		n.effect(&e)
+	}
+	for len(n.pending) > 0 {
+		next := n.pending[0]
+		n.pending = n.pending[1:]
+		for _, e := range n.module.Step(n.now, &next) {
+			n.effect(&e)
+		}
+	}
+}
+
+func (n *Node) effect(e *policy.Effect) {
+	switch e.Kind {
+	case policy.Push:
+		n.push(e)
+	case policy.Nack:
+		if op := n.ops[e.Op]; op != nil {
+			n.settle(op, Answer{Verdict: Nacked, RetryAfter: e.For})
+			n.forget(op)
+		}
+	case policy.DeadLetter:
+		if op := n.ops[e.Op]; op != nil {
+			n.settle(op, Answer{Verdict: DeadLettered})
+			n.forget(op)
+		}
+	case policy.Cancel:
+		// Its end comes from the server's side, as cancelled unless an answer was already there.
+		if op := n.ops[e.Op]; op != nil && int(e.Push) < len(op.pushes) {
+			op.pushes[e.Push].cancel()
+		}
+	case policy.Wake:
+		token := e.Token
+		n.timers.set(e.At, func() { n.step(&policy.Input{Kind: policy.Woken, Token: token}) })
+	case policy.Watch:
+		n.registry.Watch()
+	case policy.Log:
+		n.log.Info().Msg(e.Text)
+	}
+}
+
+func (n *Node) push(e *policy.Effect) {
+	op := n.ops[e.Op]
+	if op == nil {
+		n.log.Error().Uint32("op", uint32(e.Op)).Msg("push of an op that is not in hand")
+		return
+	}
+	push := &Push{Request: &op.Request, Server: e.Server, op: op, no: policy.PushNo(len(op.pushes)), sent: n.now}
+	push.Context, push.cancel = context.WithCancel(context.Background())
+	op.pushes = append(op.pushes, push)
+	op.out++
+	push.For = op.NotAfter - n.now
+	if e.For > 0 {
+		push.For = min(push.For, e.For)
+	}
+	if op.settled || push.For <= 0 {
+		// Danger: an op that is over, or out of time, would run for nobody.
+		push.ended = true
+		op.out--
+		push.cancel()
+		n.pending = append(n.pending, policy.Input{Kind: policy.PushEnded, Op: op.id, Push: push.no,
+			Server: push.Server, Outcome: policy.Moot, Settled: op.settled})
+		return
+	}
+	push.timeout = n.timers.set(n.now+push.For, func() {
+		n.end(push, Result{Outcome: policy.TimedOut}, n.clock.Now()-push.sent)
+	})
+	push.Body = op.Body.Reader()
+	n.servers.Push(push)
+}
--- /dev/null
+++ b/internal/registry/registry.go
@@ -0,0 +1,237 @@
+// Package registry follows the list of servers: an actor that watches when the module asks.
+package registry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/sockets"
+	"canvasrouter/policy"
+)
+
+const (
+	path = "/api/targets"
+	// silence ends a watch: while nothing changes an empty line comes every 2 s.
+	silence = 3 * 2 * time.Second
+	// callWait ends a call that gets no answer: the registry works through calls in turn, for seconds.
+	callWait = 10 * time.Second
+	dialWait = time.Second
+	longest  = 8 << 20 // of a line
+)
+
+// Options say where the registry is and what its words mean.
+type Options struct {
+	Addr         string
+	Zones, Kinds []string
+	Unasked      bool          // changes come without the module asking, so the actor keeps the watch up by itself
+	Again        time.Duration // between two such watches
+}
+
+// Registry is the actor. Known and Start come first.
+type Registry struct {
+	options    Options
+	log        zerolog.Logger
+	names      *names
+	generation uint64
+	held       bool // a list is held: a watch asks only for what came after it
+	client     *http.Client
+	asked      chan struct{} // holds one: asking twice is asking once
+	tell       func(*node.List)
+}
+
+// New makes the actor; tell takes what the registry says.
+func New(options Options, part *sockets.Part, log zerolog.Logger) *Registry {
+	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
+	return &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
+		asked: make(chan struct{}, 1),
+		client: &http.Client{
+			Transport: &http.Transport{
+				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+					return dialer.Dial(ctx, network, addr)
+				},
+				// Danger: on a kept connection the library may send the call again by itself.
+				DisableKeepAlives:  true,
+				DisableCompression: true,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		}}
+}
+
+// Known reads the list that the node last had; it may be empty.
+func (r *Registry) Known(raw []byte) (*node.List, error) {
+	if len(bytes.TrimSpace(raw)) == 0 || string(bytes.TrimSpace(raw)) == "null" {
+		return &node.List{Form: policy.ListCached}, nil
+	}
+	list, generation, err := r.names.parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("config: key known: %w", err)
+	}
+	r.generation, r.held = generation, true
+	list.Form = policy.ListCached
+	return list, nil
+}
+
+// Watch asks for changes from now on. It does not wait.
+func (r *Registry) Watch() {
+	select {
+	case r.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Run follows the list until ctx is done. Asking while a watch stands ends that one and begins another.
+func (r *Registry) Run(ctx context.Context, tell func(*node.List)) {
+	r.tell = tell
+	ended := make(chan struct{})
+	close(ended)
+	cancel := context.CancelFunc(func() {})
+	if r.options.Unasked {
+		r.Watch()
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			cancel()
+			<-ended
+			return
+		case <-r.asked:
+		}
+		cancel()
+		<-ended
+		var watching context.Context
+		watching, cancel = context.WithCancel(ctx)
+		ended = make(chan struct{})
+		go func(done chan struct{}) {
+			defer close(done)
+			r.follow(watching)
+		}(ended)
+	}
+}
+
+// follow holds one watch. Unless it was replaced, its end is told.
+func (r *Registry) follow(ctx context.Context) {
+	err := r.watch(ctx)
+	if ctx.Err() != nil {
+		return
+	}
+	r.log.Warn().Err(err).Uint64("generation", r.generation).Msg("watch of the list ended")
+	r.tell(&node.List{Form: policy.ListFailed})
+	if r.options.Unasked {
+		select {
+		case <-ctx.Done():
+		case <-time.After(r.options.Again):
+			r.Watch()
+		}
+	}
+}
+
+func (r *Registry) watch(ctx context.Context) error {
+	query := "?watch=1"
+	if r.held {
+		query = fmt.Sprintf("?watch=1&from=%d", r.generation)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// Danger: a registry that is cut off says nothing, for ever.
+	quiet := time.AfterFunc(callWait, func() { cancel(errors.New("silent")) })
+	defer quiet.Stop()
+	response, err := r.call(ctx, query)
+	if err != nil {
+		return errors.Join(err, context.Cause(ctx))
+	}
+	defer response.Body.Close()
+	lines := bufio.NewReader(response.Body)
+	for {
+		line, err := readLine(lines)
+		if err != nil {
+			return errors.Join(err, context.Cause(ctx)) // half a line is no line
+		}
+		quiet.Reset(silence)
+		if len(line) == 0 {
+			continue
+		}
+		list, generation, err := r.names.parse(line)
+		if err != nil {
+			r.log.Error().Err(err).Msg("broken line of the list; asking for the whole list")
+			if list, generation, err = r.whole(ctx); err != nil {
+				return err
+			}
+			quiet.Reset(silence)
+		}
+		if list.Form == policy.ListChanges && r.held && generation <= r.generation {
+			continue // already in the whole list
+		}
+		r.take(list, generation)
+	}
+}
+
+func (r *Registry) take(list *node.List, generation uint64) {
+	r.generation, r.held = generation, true
+	r.log.Info().Uint64("generation", generation).Int("entries", len(list.Entries)).
+		Bool("whole", list.Form == policy.ListWhole).Msg("list")
+	r.tell(list)
+}
+
+// whole asks for the whole list once.
+func (r *Registry) whole(ctx context.Context) (*node.List, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callWait)
+	defer cancel()
+	response, err := r.call(ctx, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, longest))
+	if err != nil {
+		return nil, 0, err
+	}
+	list, generation, err := r.names.parse(raw)
+	if err != nil {
+		return nil, 0, fmt.Errorf("whole list: %w", err)
+	}
+	list.Form = policy.ListWhole
+	return list, generation, nil
+}
+
+func (r *Registry) call(ctx context.Context, query string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.options.Addr+path+query, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, fmt.Errorf("registry answered %s", response.Status)
+	}
+	return response, nil
+}
+
+// readLine reads up to the line's end and refuses one that has none in reach.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		line = append(line, part...)
+		switch {
+		case err == nil:
+			return bytes.TrimSpace(line), nil
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, err
+		case len(line) > longest:
+			return nil, errors.New("line is too long")
+		}
+	}
+}
--- /dev/null
+++ b/internal/servers/peer.go
@@ -0,0 +1,233 @@
+package servers
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/sockets"
+	"canvasrouter/policy"
+)
+
+const (
+	remainingHeader  = "X-Remaining-Ms"
+	turnedAwayHeader = "X-Turned-Away"
+	loadHeader       = "X-Pressure"
+)
+
+// hopByHop are the headers that are for one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
+
+// peer is the actor of one server: it owns the transport and so the connections.
+type peer struct {
+	addr      string
+	started   policy.Micros
+	mail      chan *node.Push
+	transport *http.Transport
+	end       func(*node.Push, node.Result)
+}
+
+func newPeer(addr string, started policy.Micros, options Options, part *sockets.Part,
+	end func(*node.Push, node.Result)) *peer {
+	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: options.Dial}, Part: part}
+	transport := &http.Transport{
+		Proxy: nil, // none from the environment either
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			opened, err := dialer.Dial(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &conn{Conn: opened}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: part.Size(),
+		// Danger: a push written as the server closes its idle connection ends as a reset.
+		IdleConnTimeout:        options.IdleClose * 4 / 5,
+		MaxResponseHeaderBytes: node.MostBody,
+	}
+	return &peer{addr: addr, started: started, mail: make(chan *node.Push, options.MostOut), transport: transport,
+		end: end}
+}
+
+// run carries each push in a goroutine of its own, until the mailbox is closed and the last push has ended.
+func (p *peer) run() {
+	var out sync.WaitGroup
+	for push := range p.mail {
+		out.Go(func() {
+			result := p.carry(push)
+			p.end(push, result)
+		})
+	}
+	p.transport.CloseIdleConnections() // at once: no new push comes
+	out.Wait()
+	p.transport.CloseIdleConnections()
+}
+
+// carry sends a push and reads its answer whole.
+func (p *peer) carry(push *node.Push) node.Result {
+	defer push.Body.Close()
+	way := &passage{body: push.Body}
+	request := p.request(push, way)
+	response, err := p.transport.RoundTrip(request)
+	if err != nil {
+		return node.Result{Outcome: way.failure(push.Context)}
+	}
+	defer response.Body.Close()
+	switch {
+	case response.StatusCode == http.StatusOK:
+		return way.acked(push.Context, response)
+	case (response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) &&
+		response.Header.Get(turnedAwayHeader) == "1":
+		discard(response)
+		return node.Result{Outcome: policy.Full}
+	}
+	discard(response)
+	return node.Result{Outcome: policy.Errored}
+}
+
+// request is what goes on: the bytes that came, and how long the node will wait.
+//
+// Danger: http.Transport sends a request again by itself when a kept connection breaks, if the request has no
+// body or can make it anew; that would be a push that the module never decided. So there always is a body, also
+// for GET, and no GetBody.
+func (p *peer) request(push *node.Push, way *passage) *http.Request {
+	header := push.Header.Clone()
+	for _, name := range header.Values("Connection") {
+		header.Del(name)
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+	header.Set(remainingHeader, strconv.FormatInt(int64(push.For/policy.Millisecond), 10))
+	if _, told := header["User-Agent"]; !told {
+		header["User-Agent"] = []string{""} // none, rather than the library's
+	}
+	request := &http.Request{
+		Method:        push.Method,
+		URL:           &url.URL{Scheme: "http", Host: p.addr, Opaque: push.Target},
+		Host:          push.Host,
+		Header:        header,
+		Body:          push.Body,
+		ContentLength: int64(push.Body.Left()),
+		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if request.ContentLength == 0 && (push.Method == http.MethodGet || push.Method == http.MethodHead) {
+		// No length and no chunks: without this the library waits to see whether a body comes.
+		request.TransferEncoding = []string{"identity"}
+	}
+	return request.WithContext(httptrace.WithClientTrace(push.Context, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { way.begin(info.Conn) },
+	}))
+}
+
+// passage tells how far a push got on its connection.
+type passage struct {
+	body *node.Reader
+	conn atomic.Pointer[conn]
+}
+
+func (w *passage) begin(c net.Conn) {
+	if own, ok := c.(*conn); ok {
+		own.wrote.Store(nothing)
+		w.conn.Store(own)
+	}
+}
+
+// failure is the outcome of a push with no answer. It has surely not run only if its last byte was surely not
+// written: no connection, nothing written on it, a last write that was cut short, or body left to read.
+func (w *passage) failure(ctx context.Context) policy.Outcome {
+	c := w.conn.Load()
+	switch {
+	case ctx.Err() != nil:
+		return policy.Cancelled
+	case c == nil || c.wrote.Load() != whole || w.body.Left() > 0:
+		return policy.ConnectFailed
+	}
+	return policy.Reset
+}
+
+// acked reads a 200 answer. One that ends early, or does not say where it ends, can't be told from a broken one.
+func (w *passage) acked(ctx context.Context, response *http.Response) node.Result {
+	chunked := len(response.TransferEncoding) > 0
+	body, err := node.ReadPayload(response.Body)
+	switch {
+	case err == nil && (response.ContentLength >= 0 || chunked):
+		header := response.Header
+		for _, name := range append(hopByHop, loadHeader) {
+			header.Del(name)
+		}
+		return node.Result{Outcome: policy.Acked, Header: header, Body: body}
+	case ctx.Err() != nil:
+		body.Release()
+		return node.Result{Outcome: policy.Cancelled}
+	case errors.Is(err, node.ErrTooLong):
+		return node.Result{Outcome: policy.Errored}
+	}
+	body.Release()
+	return node.Result{Outcome: policy.Reset}
+}
+
+// discard reads the rest of an answer that does not go on, so that its connection can be kept.
+func discard(response *http.Response) {
+	io.CopyN(io.Discard, response.Body, node.MostBody)
+}
+
+// What the last write on a connection came to, since its push began.
+const (
+	nothing int32 = iota
+	short         // it failed before its end
+	whole         // it was taken to the end, or is under way
+)
+
+// conn remembers how its writes went. The transport has one request at a time on it.
+type conn struct {
+	*sockets.Conn
+	wrote atomic.Int32
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	c.wrote.Store(whole)
+	n, err := c.Conn.Write(b)
+	if n < len(b) {
+		c.wrote.Store(short)
+	}
+	return n, err
+}
+
+// shedders are the peers whose idle connections can be closed when sockets run short.
+type shedders struct {
+	mu    sync.Mutex
+	peers map[*peer]bool
+}
+
+func (s *shedders) add(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = make(map[*peer]bool)
+	}
+	s.peers[p] = true
+}
+
+func (s *shedders) remove(p *peer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.peers, p)
+}
+
+func (s *shedders) shed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.peers {
+		p.transport.CloseIdleConnections()
+	}
+}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 
+	"canvasrouter/internal/config"
 	"canvasrouter/policy"
 )
 
@@ -55,8 +56,6 @@
 
 var states = map[byte]policy.ServerState{1: policy.Ready, 3: policy.Draining, 2: policy.Gone}
 
-func micros(ms float64) policy.Micros { return policy.Micros(math.Round(ms * 1000)) }
-
 func millis(t policy.Micros) float64 { return float64(t) / 1000 }
 
 // host holds the nodes of one process and the lists that belong to the process as a whole.
@@ -91,7 +90,7 @@
 		if n, err := io.ReadFull(in, body); err != nil {
 			return fmt.Errorf("batch %d: %d bytes announced, %d came: %w", batch, length, n, err)
 		}
-		if err := h.batch(micros(clock), count, body); err != nil {
+		if err := h.batch(config.Micros(clock), count, body); err != nil {
 			return fmt.Errorf("batch %d: %w", batch, err)
 		}
 		var reply [8]byte
@@ -142,7 +141,7 @@
 func (c *cursor) u32() uint32         { return binary.BigEndian.Uint32(c.take(4)) }
 func (c *cursor) u64() uint64         { return binary.BigEndian.Uint64(c.take(8)) }
 func (c *cursor) f32() float64        { return float64(math.Float32frombits(c.u32())) }
-func (c *cursor) time() policy.Micros { return micros(math.Float64frombits(c.u64())) }
+func (c *cursor) time() policy.Micros { return config.Micros(math.Float64frombits(c.u64())) }
 func (c *cursor) server() policy.ServerID {
 	return policy.ServerID(c.u32())<<16 | policy.ServerID(c.u16())
 }
@@ -177,11 +176,11 @@
 		if c.short {
 			return errShort
 		}
-		node, err := newNode(seed, text)
+		rules, err := config.ParseRules(text)
 		if err != nil {
 			return fmt.Errorf("CREATE of instance %d: %w", who, err)
 		}
-		h.nodes[who] = node
+		h.nodes[who] = rules.NewNode(seed)
 		return nil
 	case evKill:
 		if c.short {
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,93 @@
+// Package sockets is the one budget of a process's sockets: clients, servers and the registry draw on it.
+package sockets
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"golang.org/x/sync/semaphore"
+)
+
+const (
+	// reserve is kept for the runtime's own files: standard streams, the poller, the listener, files being read.
+	reserve = 24
+	// registryShare is kept for the registry: a watch, a whole list, and one of each being given up.
+	registryShare = 4
+)
+
+// Part is a share of the budget. What a part holds never exceeds it, so that no side can starve another: clients
+// in number can't take the sockets that answer them.
+type Part struct {
+	room *semaphore.Weighted
+	shed func() // gives idle connections back; called when the part runs short
+	size int64
+}
+
+// Split divides the limit of a process among clients, servers and the registry. An op in hand holds one
+// client's socket and, now and then, a second server's, so servers get the larger half.
+func Split(limit int) (clients, servers, registry *Part) {
+	rest := int64(limit - reserve - registryShare)
+	forClients := rest * 9 / 20
+	return newPart(forClients), newPart(rest - forClients), newPart(registryShare)
+}
+
+func newPart(size int64) *Part {
+	return &Part{room: semaphore.NewWeighted(size), shed: func() {}, size: size}
+}
+
+// Size is how many sockets the part may hold.
+func (p *Part) Size() int { return int(p.size) }
+
+// OnShort names what gives idle connections back. It must be called before the part is used.
+func (p *Part) OnShort(shed func()) { p.shed = shed }
+
+// Take takes room for one socket; when there is none, idle connections go first and Take waits until ctx is
+// done.
+func (p *Part) Take(ctx context.Context) error {
+	if p.room.TryAcquire(1) {
+		return nil
+	}
+	p.shed()
+	return p.room.Acquire(ctx, 1)
+}
+
+// Give gives the room of one socket back that never opened.
+func (p *Part) Give() { p.room.Release(1) }
+
+// Own makes conn the owner of the room taken for it, until it is closed.
+func (p *Part) Own(conn net.Conn) *Conn { return &Conn{Conn: conn, part: p} }
+
+// Conn gives its room back when it is closed, once.
+type Conn struct {
+	net.Conn
+	part *Part
+	once sync.Once
+}
+
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	c.once.Do(c.part.Give)
+	return err
+}
+
+// Dialer opens connections within a part.
+type Dialer struct {
+	net.Dialer
+	Part *Part
+}
+
+// Dial opens a connection within the dialer's Timeout, the wait for room included.
+func (d *Dialer) Dial(ctx context.Context, network, addr string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	if err := d.Part.Take(ctx); err != nil {
+		return nil, err
+	}
+	conn, err := d.DialContext(ctx, network, addr)
+	if err != nil {
+		d.Part.Give()
+		return nil, err
+	}
+	return d.Part.Own(conn), nil
+}
