Ops in excess of the sockets are nacked at once, before the module

Ruled out: CPU (0.09 s in the worst second), memory (8 MB). At fault: sockets.Split gave clients no room beyond the ops in hand, and node.arrive had no bound. Now ops in hand are bounded (as the wire's limits.max_open), clients hold spare sockets to read and answer one more, servers hold room for the pushes of all.

--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -51,9 +51,9 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is stacks and what the kernel counts
 
-	forClients, forServers, forRegistry := sockets.Split(c.Sockets)
+	forClients, forServers, forRegistry, most := sockets.Split(c.Sockets)
 	clock := node.NewClock()
-	actor := node.New(c.Rules.NewNode(c.Seed), clock, log.With().Str("part", "node").Logger())
+	actor := node.New(c.Rules.NewNode(c.Seed), clock, min(most, c.MostOpen), log.With().Str("part", "node").Logger())
 	list := registry.New(registry.Options{Addr: c.Discovery, Zones: c.Names.Zones, Kinds: c.Names.Kinds,
 		Unasked: !c.Rules.Registry.Ask, Again: time.Second}, forRegistry,
 		log.With().Str("part", "registry").Logger())
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -238,6 +238,9 @@
 		w.WriteHeader(http.StatusOK)
 		w.Write(answer.Body.Bytes())
 	case node.Nacked:
+		if answer.Excess {
+			w.Header().Set("Connection", "close")
+		}
 		if answer.RetryAfter > 0 {
 			seconds := float64(answer.RetryAfter) / float64(policy.Second)
 			w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Known     json.RawMessage // the list as the node last had it, in the registry's form
 	Rules     *Rules
 	Names     Names
+	MostOpen  int           // ops in hand that the settings allow
 	IdleClose time.Duration // a server closes a connection that was idle for this long
 }
 
@@ -119,6 +120,7 @@
 	s := fromJSON(d.Settings)
 	c.Rules = s.rules()
 	c.IdleClose = time.Duration(Micros(s.numberOr("limits.idle_close", 0))) * time.Microsecond
+	c.MostOpen = int(s.numberOr("limits.max_open", float64(c.Sockets)))
 	c.Names = Names{Categories: s.names("categories"), Tenants: s.names("tenants"),
 		Zones: s.list("failure_domains"), Kinds: s.list("kinds")}
 	s.check(c.Rules)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,11 +28,13 @@
 	clock    *Clock
 	servers  Servers
 	registry Registry
+	most     int // ops in hand
 	log      zerolog.Logger
 	mail     chan any
 	stopped  chan struct{}
 
 	ops     map[policy.OpID]*Op
+	open    int // of them not settled
 	last    policy.OpID
 	now     policy.Micros // of the last step
 	timers  timers
@@ -49,9 +51,9 @@
 	}
 )
 
-// New makes the actor. Start must follow before Run.
-func New(module policy.Decider, clock *Clock, log zerolog.Logger) *Node {
-	return &Node{module: module, clock: clock, log: log, mail: make(chan any, mailbox),
+// New makes the actor, for at most so many ops in hand. Start must follow before Run.
+func New(module policy.Decider, clock *Clock, most int, log zerolog.Logger) *Node {
+	return &Node{module: module, clock: clock, most: most, log: log, mail: make(chan any, mailbox),
 		stopped: make(chan struct{}), ops: make(map[policy.OpID]*Op)}
 }
 
@@ -163,7 +165,14 @@
 	}
 }
 
+// arrive gives an op its id and hands it to the module. What is in excess of the ops that can be open is
+// rejected before it reaches the module, as the wire's limits.max_open has it: nothing of it has run.
 func (n *Node) arrive(op *Op) {
+	n.open++
+	if n.open > n.most {
+		n.settle(op, Answer{Verdict: Nacked, Excess: true})
+		return
+	}
 	for n.last++; n.last == 0 || n.ops[n.last] != nil; n.last++ {
 		// 0 is the token of the module's own beat, and an id in hand is not given twice.
 	}
@@ -223,6 +232,7 @@
 		return
 	}
 	op.settled = true
+	n.open--
 	n.timers.stop(op.overdue)
 	op.answer <- answer
 	op.Body.Release() // pushes still out hold it for themselves
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -53,6 +53,7 @@
 type Answer struct {
 	Verdict    Verdict
 	RetryAfter policy.Micros
+	Excess     bool // nacked for want of sockets: the client's is wanted back
 	Header     http.Header
 	Body       *Payload
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -24,12 +24,17 @@
 	size int64
 }
 
-// Split divides the limit of a process among clients, servers and the registry. An op in hand holds one
-// client's socket and, now and then, a second server's, so servers get the larger half.
-func Split(limit int) (clients, servers, registry *Part) {
+// Split divides the limit of a process among clients, servers and the registry, and says how many ops may be in
+// hand at once: each holds a client's socket and one to a server.
+//
+// Danger: an op whose connection waits in the backlog has been taken, and is lost at its deadline. So clients
+// have room beyond the ops in hand, in which one more is read and answered at once. Danger: a node's own
+// shortage would look like servers that can't be reached. So servers have room for second pushes and for
+// connections that are just being closed.
+func Split(limit int) (clients, servers, registry *Part, ops int) {
 	rest := int64(limit - reserve - registryShare)
-	forClients := rest * 9 / 20
-	return newPart(forClients), newPart(rest - forClients), newPart(registryShare)
+	forServers := rest * 15 / 32
+	return newPart(rest - forServers), newPart(forServers), newPart(registryShare), int(rest * 13 / 32)
 }
 
 func newPart(size int64) *Part {
