A watch's first line is told even when nothing changed

Cause: registry.watch skipped changes not newer than the generation held; the first line of a watch repeats it, so the module never heard that it was subscribed and asked again each 10 s. Lines are now skipped only after a whole list that a broken line made necessary.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -151,13 +151,19 @@
 	}
 	defer response.Body.Close()
 	lines := bufio.NewReader(response.Body)
-	for {
+	var covered *uint64 // changes up to here are in a whole list that was asked for on the way
+	for told := false; ; told = true {
 		line, err := readLine(lines)
 		if err != nil {
 			return errors.Join(err, context.Cause(ctx)) // half a line is no line
 		}
 		quiet.Reset(silence)
 		if len(line) == 0 {
+			if !told {
+				// Danger: the module asks again until it hears that it is subscribed, and each call is work for
+				// a small service.
+				r.tell(&node.List{Form: policy.ListChanges})
+			}
 			continue
 		}
 		list, generation, err := r.names.parse(line)
@@ -167,9 +173,10 @@
 				return err
 			}
 			quiet.Reset(silence)
+			covered = &generation
 		}
-		if list.Form == policy.ListChanges && r.held && generation <= r.generation {
-			continue // already in the whole list
+		if list.Form == policy.ListChanges && covered != nil && generation <= *covered {
+			continue // older than the whole list
 		}
 		r.take(list, generation)
 	}
