--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -53,7 +53,8 @@
 
 	forClients, forServers, forRegistry, most := sockets.Split(c.Sockets)
 	clock := node.NewClock()
-	actor := node.New(c.Rules.NewNode(c.Seed), clock, min(most, c.MostOpen), log.With().Str("part", "node").Logger())
+	actor := node.New(node.Options{MostOpen: min(most, c.MostOpen), Slack: c.AnswerSlack},
+		c.Rules.NewNode(c.Seed), clock, log.With().Str("part", "node").Logger())
 	list := registry.New(registry.Options{Addr: c.Discovery, Zones: c.Names.Zones, Kinds: c.Names.Kinds,
 		Unasked: !c.Rules.Registry.Ask, Again: time.Second}, forRegistry,
 		log.With().Str("part", "registry").Logger())
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,18 +24,19 @@
 
 // Config is all that a node is told at its start.
 type Config struct {
-	Name      string
-	Listen    string // where clients connect
-	Discovery string // the registry
-	Seed      uint64
-	Cores     float64
-	MemoryMB  int
-	Sockets   int
-	Known     json.RawMessage // the list as the node last had it, in the registry's form
-	Rules     *Rules
-	Names     Names
-	MostOpen  int           // ops in hand that the settings allow
-	IdleClose time.Duration // a server closes a connection that was idle for this long
+	Name        string
+	Listen      string // where clients connect
+	Discovery   string // the registry
+	Seed        uint64
+	Cores       float64
+	MemoryMB    int
+	Sockets     int
+	Known       json.RawMessage // the list as the node last had it, in the registry's form
+	Rules       *Rules
+	Names       Names
+	MostOpen    int           // ops in hand that the settings allow
+	AnswerSlack policy.Micros // past a client's wait, in which a final answer still counts
+	IdleClose   time.Duration // a server closes a connection that was idle for this long
 }
 
 // Names are the words of the settings, by the number that the module knows them by.
@@ -120,6 +121,7 @@
 	s := fromJSON(d.Settings)
 	c.Rules = s.rules()
 	c.IdleClose = time.Duration(Micros(s.numberOr("limits.idle_close", 0))) * time.Microsecond
+	c.AnswerSlack = Micros(s.numberOr("safety.answer_slack", 0))
 	c.MostOpen = int(s.numberOr("limits.max_open", float64(c.Sockets)))
 	c.Names = Names{Categories: s.names("categories"), Tenants: s.names("tenants"),
 		Zones: s.list("failure_domains"), Kinds: s.list("kinds")}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,13 +22,19 @@
 // batch is how many messages are read before timers are looked at again.
 const batch = 64
 
+// Options are the actor's few settings.
+type Options struct {
+	MostOpen int           // ops in hand and not settled
+	Slack    policy.Micros // past the client's wait, in which a final answer still counts
+}
+
 // Node is the actor.
 type Node struct {
+	options  Options
 	module   policy.Decider
 	clock    *Clock
 	servers  Servers
 	registry Registry
-	most     int // ops in hand
 	log      zerolog.Logger
 	mail     chan any
 	stopped  chan struct{}
@@ -51,9 +57,9 @@
 	}
 )
 
-// New makes the actor, for at most so many ops in hand. Start must follow before Run.
-func New(module policy.Decider, clock *Clock, most int, log zerolog.Logger) *Node {
-	return &Node{module: module, clock: clock, most: most, log: log, mail: make(chan any, mailbox),
+// New makes the actor. Start must follow before Run.
+func New(options Options, module policy.Decider, clock *Clock, log zerolog.Logger) *Node {
+	return &Node{options: options, module: module, clock: clock, log: log, mail: make(chan any, mailbox),
 		stopped: make(chan struct{}), ops: make(map[policy.OpID]*Op)}
 }
 
@@ -82,6 +88,11 @@
 func (n *Node) send(message any, otherwise func()) {
 	select {
 	case n.mail <- message:
+		select {
+		case <-n.stopped:
+			n.refuse() // it came behind the actor's back
+		default:
+		}
 	case <-n.stopped:
 		otherwise()
 	}
@@ -137,6 +148,11 @@
 		}
 		n.settle(op, Answer{Verdict: DeadLettered})
 	}
+	n.refuse()
+}
+
+// refuse dead-letters what the mailbox still holds once nobody reads it any more.
+func (n *Node) refuse() {
 	for {
 		select {
 		case m := <-n.mail:
@@ -169,7 +185,7 @@
 // rejected before it reaches the module, as the wire's limits.max_open has it: nothing of it has run.
 func (n *Node) arrive(op *Op) {
 	n.open++
-	if n.open > n.most {
+	if n.open > n.options.MostOpen {
 		n.settle(op, Answer{Verdict: Nacked, Excess: true})
 		return
 	}
@@ -178,8 +194,9 @@
 	}
 	op.id = n.last
 	n.ops[op.id] = op
-	// The module answers well before; this is the end of the wait should it ever not.
-	op.overdue = n.timers.set(op.NotAfter, func() {
+	// The module answers well before, or when a push times out at the very end; this is the end of the wait
+	// should it ever not.
+	op.overdue = n.timers.set(op.NotAfter+n.options.Slack, func() {
 		n.log.Error().Uint32("op", uint32(op.id)).Msg("op overdue, dead-lettered")
 		n.settle(op, Answer{Verdict: DeadLettered})
 		n.step(&policy.Input{Kind: policy.OpAbandoned, Op: op.id})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -21,8 +21,8 @@
 
 const (
 	path = "/api/targets"
-	// silence ends a watch: while nothing changes an empty line comes every 2 s.
-	silence = 3 * 2 * time.Second
+	// mostSilence ends a watch: while nothing changes an empty line comes every 2 s.
+	mostSilence = 3 * 2 * time.Second
 	// callWait ends a call that gets no answer: the registry works through calls in turn, for seconds.
 	callWait = 10 * time.Second
 	dialWait = time.Second
@@ -44,6 +44,7 @@
 	names      *names
 	generation uint64
 	held       bool // a list is held: a watch asks only for what came after it
+	silence    time.Duration
 	client     *http.Client
 	asked      chan struct{} // holds one: asking twice is asking once
 	tell       func(*node.List)
@@ -53,7 +54,7 @@
 func New(options Options, part *sockets.Part, log zerolog.Logger) *Registry {
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
 	return &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
-		asked: make(chan struct{}, 1),
+		asked: make(chan struct{}, 1), silence: mostSilence,
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -157,7 +158,7 @@
 		if err != nil {
 			return errors.Join(err, context.Cause(ctx)) // half a line is no line
 		}
-		quiet.Reset(silence)
+		quiet.Reset(r.silence)
 		if len(line) == 0 {
 			if !told {
 				// Danger: the module asks again until it hears that it is subscribed, and each call is work for
@@ -172,7 +173,7 @@
 			if list, generation, err = r.whole(ctx); err != nil {
 				return err
 			}
-			quiet.Reset(silence)
+			quiet.Reset(r.silence)
 			covered = &generation
 		}
 		if list.Form == policy.ListChanges && covered != nil && generation <= *covered {
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,178 @@
+package registry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/sockets"
+	"canvasrouter/policy"
+)
+
+func line(generation int, reset bool, entries ...string) string {
+	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, generation, reset, strings.Join(entries, ","))
+}
+
+func entry(id, lifecycle, addr string, started int) string {
+	return fmt.Sprintf(`{"instanceId":%q,"hostPort":%q,"zone":"b","machineType":"m2","cell":3,"lifecycle":%q,`+
+		`"weight":1.5,"startedAtMs":%d}`, id, addr, lifecycle, started)
+}
+
+// follow runs a registry's actor against a stand-in that answers a watch with a script and the whole list with
+// another, until the watch has ended.
+func follow(t *testing.T, script []string, whole string, hold bool) []string {
+	t.Helper()
+	release := make(chan struct{})
+	var calls []string
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls = append(calls, "asked "+r.URL.RequestURI())
+		if r.URL.Query().Get("watch") == "" {
+			fmt.Fprintln(w, whole)
+			return
+		}
+		if len(script) == 1 && script[0] == "down" {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		for _, s := range script {
+			fmt.Fprint(w, s)
+			w.(http.Flusher).Flush()
+		}
+		if hold {
+			<-release
+		}
+	}))
+	defer stand.Close()
+	defer close(release)
+	_, _, part, _ := sockets.Split(100)
+	r := New(Options{Addr: strings.TrimPrefix(stand.URL, "http://"), Zones: []string{"a", "b"}}, part, zerolog.Nop())
+	r.silence = 100 * time.Millisecond
+	known, err := r.Known([]byte(line(41, true, entry("s-1", "active", "127.0.0.1:1", 0))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	told := make(chan *node.List, 16)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	go func() { r.Run(ctx, func(l *node.List) { told <- l }); close(ended) }()
+	r.Watch()
+	trace := []string{describe(known)}
+	for trace[len(trace)-1] != "failed" {
+		select {
+		case l := <-told:
+			trace = append(trace, describe(l))
+		case <-ctx.Done():
+			t.Fatal("the end of the watch was not told; so far: ", trace)
+		}
+	}
+	cancel()
+	<-ended
+	return append(trace, calls...)
+}
+
+func describe(l *node.List) string {
+	out := [...]string{"changes", "whole", "cached", "failed"}[l.Form]
+	for i, e := range l.Entries {
+		out += fmt.Sprintf(" %s %s zone %d started %d", [...]string{"ready", "draining", "gone"}[e.State], l.Addrs[i],
+			e.Zone, e.Started/policy.Millisecond)
+	}
+	return out
+}
+
+// What a watch says is told in order; however it ends, that is told too, and once.
+func TestWatch(t *testing.T) {
+	const cached, asked = "cached ready 127.0.0.1:1 zone 1 started 0", "asked /api/targets?watch=1&from=41"
+	for name, c := range map[string]struct {
+		script []string
+		hold   bool
+		whole  string
+		want   []string
+	}{
+		"changes": {script: []string{line(42, false, entry("s-1", "leaving", "127.0.0.1:1", 0)) + "\n",
+			line(43, false, entry("s-1", "left", "", 0)) + "\n"},
+			want: []string{cached, "changes draining 127.0.0.1:1 zone 1 started 0", "changes gone  zone 1 started 0",
+				"failed", asked}},
+		"back with another address and start": {script: []string{
+			line(42, false, entry("s-1", "active", "127.0.0.1:2", 77)) + "\n"},
+			want: []string{cached, "changes ready 127.0.0.1:2 zone 1 started 77", "failed", asked}},
+		"the whole list first": {script: []string{line(3, true) + "\n"}, want: []string{cached, "whole", "failed", asked}},
+		// Danger: unless it hears that it is subscribed, the module asks again and again.
+		"nothing changed":   {script: []string{line(41, false) + "\n"}, want: []string{cached, "changes", "failed", asked}},
+		"empty lines":       {script: []string{"\n", "\n", "\n"}, want: []string{cached, "changes", "failed", asked}},
+		"half a line":       {script: []string{line(42, true)[:30]}, want: []string{cached, "failed", asked}},
+		"the registry down": {script: []string{"down"}, want: []string{cached, "failed", asked}},
+		// Danger: a registry that is cut off says nothing, and its connection stays open.
+		"a silent watch": {script: []string{line(42, false) + "\n"}, hold: true,
+			want: []string{cached, "changes", "failed", asked}},
+		"a broken line": {script: []string{"{nonsense\n", line(44, false, entry("s-1", "left", "", 0)) + "\n",
+			line(45, false, entry("s-1", "left", "", 0)) + "\n"},
+			whole: line(44, true, entry("s-2", "active", "127.0.0.1:3", 0)),
+			want: []string{cached, "whole ready 127.0.0.1:3 zone 1 started 0", "changes gone  zone 1 started 0", "failed",
+				asked, "asked /api/targets"}},
+		"an unknown lifecycle": {script: []string{line(42, false, entry("s-1", "sleeping", "127.0.0.1:1", 0)) + "\n"},
+			whole: "no list either", want: []string{cached, "failed", asked, "asked /api/targets"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, follow(t, c.script, c.whole, c.hold)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Where changes come unasked, the actor begins a watch again by itself.
+func TestUnasked(t *testing.T) {
+	watches := make(chan string, 8)
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		watches <- r.URL.RequestURI()
+		fmt.Fprintln(w, line(7, true))
+	}))
+	defer stand.Close()
+	_, _, part, _ := sockets.Split(100)
+	r := New(Options{Addr: strings.TrimPrefix(stand.URL, "http://"), Unasked: true, Again: time.Millisecond}, part,
+		zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { r.Run(ctx, func(*node.List) {}); close(ended) }()
+	got := []string{<-watches, <-watches}
+	cancel()
+	<-ended
+	if diff := cmp.Diff([]string{"/api/targets?watch=1", "/api/targets?watch=1&from=7"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Every node puts the same servers in the same order, whatever it heard of first, and an id keeps its number.
+func TestServerIDs(t *testing.T) {
+	one, other := newNames(nil, nil), newNames(nil, nil)
+	ids := []string{"s-5be2a07c", "s-1", "s-2", ""}
+	for i := range ids {
+		one.server(ids[i])
+		other.server(ids[len(ids)-1-i])
+	}
+	if diff := cmp.Diff(one.servers, other.servers); diff != "" {
+		t.Error(diff)
+	}
+	clash := newNames(nil, nil)
+	clash.taken[one.servers["s-1"]] = true
+	if got := clash.server("s-1"); got == one.servers["s-1"] || got != clash.server("s-1") {
+		t.Errorf("a number in use was given again, or not kept: %x", got)
+	}
+}
+
+func TestLineWithoutEnd(t *testing.T) {
+	endless := bufio.NewReader(strings.NewReader(strings.Repeat("x", longest+8192)))
+	if _, err := readLine(endless); err == nil || !strings.Contains(err.Error(), "too long") {
+		t.Errorf("got %v", err)
+	}
+}
