A connection that falls idle while another waits for its socket gives way

Found by a loopback test with two client sockets: the one that waited for room stood until the idle one's end, as sockets.Part.Take asked for idle connections once, before the other had fallen idle. Tests for the clients' side.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -83,6 +83,9 @@
 		ErrorLog:                     stdlog.New(log.With().Str("from", "net/http").Logger(), "", 0),
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.idle.set(c, state == http.StateIdle)
+			if state == http.StateIdle {
+				part.Idle()
+			}
 		},
 	}
 	return s, nil
--- /dev/null
+++ b/internal/clients/clients_test.go
@@ -0,0 +1,280 @@
+package clients
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/sockets"
+	"canvasrouter/policy"
+)
+
+// bound ends every wait of these tests.
+const bound = 5 * time.Second
+
+// module stands for the actor: it answers ops through do.
+type module struct {
+	do   func(*node.Op)
+	left chan *node.Op
+}
+
+func (m *module) Arrive(op *node.Op)  { m.do(op) }
+func (m *module) Abandon(op *node.Op) { m.left <- op; op.Answer(node.Answer{Verdict: node.Left}) }
+
+type rig struct {
+	*Server
+	*module
+	addr   string
+	served chan error
+	part   *sockets.Part
+}
+
+// start runs a server with so many sockets for clients.
+func start(t *testing.T, room int, do func(*node.Op)) *rig {
+	t.Helper()
+	r := &rig{module: &module{do: do, left: make(chan *node.Op, 8)}, served: make(chan error, 1), part: sockets.NewPart(room)}
+	var err error
+	r.Server, err = Listen("127.0.0.1:0", Options{Categories: []string{"checkout", "browse"},
+		Tenants: []string{"one", "two"}, Longest: time.Second}, r.part, r.module, node.NewClock(), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = r.listener.Addr().String()
+	go func() { r.served <- r.Serve() }()
+	t.Cleanup(func() { r.http.Close() })
+	return r
+}
+
+// served answers with the bytes that came.
+func served(op *node.Op) {
+	body, _ := node.ReadPayload(strings.NewReader(op.Method + " " + op.Target + " " + string(op.Body.Bytes())))
+	op.Answer(node.Answer{Verdict: node.Acked, Header: http.Header{"Content-Type": {"x/y"}}, Body: body})
+}
+
+func request(method, target, body string, headers ...string) string {
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Txn: 9b1f\r\nX-Remaining-Ms: 480\r\nContent-Length: %d\r\n%s\r\n%s",
+		method, target, len(body), strings.Join(append(headers, ""), "\r\n"), body)
+}
+
+type client struct {
+	net.Conn
+	*bufio.Reader
+}
+
+func (r *rig) dial(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(bound))
+	t.Cleanup(func() { c.Close() })
+	return &client{c, bufio.NewReader(c)}
+}
+
+// ask sends bytes and tells what came back: status, the headers that matter, the body.
+func (c *client) ask(raw string) string {
+	io.WriteString(c.Conn, raw)
+	return c.answer()
+}
+
+func (c *client) answer() string {
+	response, err := http.ReadResponse(c.Reader, nil)
+	if err != nil {
+		return "closed"
+	}
+	body, _ := io.ReadAll(response.Body)
+	out := fmt.Sprint(response.StatusCode)
+	if after := response.Header.Get("Retry-After"); after != "" {
+		out += " after " + after
+	}
+	if response.Close {
+		out += " close"
+	}
+	if response.StatusCode == http.StatusOK {
+		out += " " + string(body)
+	}
+	return out
+}
+
+// Bad input gets a 4xx that is no nack, and harms no other op.
+func TestBadInput(t *testing.T) {
+	r := start(t, 100, served)
+	good := r.dial(t)
+	for name, c := range map[string]struct{ raw, want string }{
+		"no such category":    {request("GET", "/elsewhere?k=1", ""), "404"},
+		"no category":         {request("GET", "/", ""), "404"},
+		"another form":        {request("GET", "http://backend.local/checkout", ""), "404"},
+		"any server":          {request("OPTIONS", "*", ""), "404"},
+		"no id":               {strings.Replace(request("GET", "/checkout", ""), "X-Txn", "X-Other", 1), "400"},
+		"no time":             {strings.Replace(request("GET", "/checkout", ""), "X-Remaining", "X-Other", 1), "400"},
+		"no number":           {strings.Replace(request("GET", "/checkout", ""), "480", "soon", 1), "400"},
+		"less than no time":   {strings.Replace(request("GET", "/checkout", ""), "480", "-1", 1), "400"},
+		"a time out of range": {strings.Replace(request("GET", "/checkout", ""), "480", "99999999999", 1), "400"},
+		"no such tenant":      {request("GET", "/checkout", "", "X-Labels: size=3,org=nobody"), "400"},
+		"a body too long":     {request("POST", "/checkout", strings.Repeat("x", node.MostBody+1)), "413 close"},
+		"and in chunks": {strings.Replace(request("POST", "/checkout", ""), "Content-Length: 0",
+			"Transfer-Encoding: chunked", 1) + "10001\r\n" + strings.Repeat("x", 0x10001) + "\r\n0\r\n\r\n", "413 close"},
+		"broken chunks": {strings.Replace(request("POST", "/checkout", ""), "Content-Length: 0",
+			"Transfer-Encoding: chunked", 1) + "zz\r\n", "400 close"},
+		"no HTTP":             {"hello\r\n\r\n", "400 close"},
+		"a header too long":   {request("GET", "/checkout", "", "X-Odd: "+strings.Repeat("x", 2*mostHeader)), "431 close"},
+		"odd header":          {request("GET", "/checkout", "", "X Odd: 1"), "400 close"},
+		"two lengths":         {request("GET", "/checkout", "", "Content-Length: 7"), "400 close"},
+		"an unknown encoding": {request("GET", "/checkout", "", "Transfer-Encoding: odd"), "501 close"},
+	} {
+		if diff := cmp.Diff(c.want, r.dial(t).ask(c.raw)); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+		if diff := cmp.Diff("200 POST /checkout?k=%2f body", good.ask(request("POST", "/checkout?k=%2f", "body"))); diff != "" {
+			t.Errorf("after %s: %s", name, diff)
+		}
+	}
+}
+
+// An op is what came, with the few fields that decisions need.
+func TestOp(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 100, func(op *node.Op) { ops <- op; served(op) })
+	before := r.clock.Now()
+	r.dial(t).ask(request("PUT", "/browse/x//y?k=%zz", "body", "X-Resent: 1", "X-Labels: size=3,org=two"))
+	op := <-ops
+	got := fmt.Sprint(op.Method, " ", op.Target, " ", op.Host, " ", op.Category, op.Tenant, op.Repeated)
+	if diff := cmp.Diff("PUT /browse/x//y?k=%zz backend.local 1 1 true", got); diff != "" {
+		t.Error(diff)
+	}
+	if left := op.NotAfter - before; left < 480*policy.Millisecond || left > policy.Micros(bound.Microseconds()) {
+		t.Errorf("the client waits for %d us", left)
+	}
+}
+
+// Only a nack may tell the client that trying again is harmless.
+func TestVerdicts(t *testing.T) {
+	for name, c := range map[string]struct {
+		do   func(*node.Op)
+		want string
+	}{
+		"acked":             {served, "200 GET /checkout "},
+		"nacked":            {func(op *node.Op) { op.Answer(node.Answer{Verdict: node.Nacked}) }, "503"},
+		"nacked, come back": {func(op *node.Op) { op.Answer(node.Answer{Verdict: node.Nacked, RetryAfter: 1250 * policy.Millisecond}) }, "503 after 1.250"},
+		"in excess":         {func(op *node.Op) { op.Answer(node.Answer{Verdict: node.Nacked, Excess: true}) }, "503 close"},
+		"dead-lettered":     {func(op *node.Op) { op.Answer(node.Answer{Verdict: node.DeadLettered}) }, "502"},
+		"a panic":           {func(*node.Op) { panic("broken") }, "500"},
+	} {
+		r := start(t, 100, c.do)
+		if diff := cmp.Diff(c.want, r.dial(t).ask(request("GET", "/checkout", ""))); diff != "" {
+			t.Errorf("%s: %s", name, diff)
+		}
+	}
+}
+
+// A client that leaves is told to the module, and one that is slow to send or asks for nothing is not.
+func TestLeaves(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 100, func(op *node.Op) { ops <- op })
+	c := r.dial(t)
+	io.WriteString(c.Conn, request("POST", "/checkout", "body"))
+	op := <-ops
+	c.Close()
+	select {
+	case left := <-r.left:
+		if left != op {
+			t.Error("another op was abandoned")
+		}
+	case <-time.After(bound):
+		t.Error("the module was not told")
+	}
+	half := r.dial(t)
+	raw := request("POST", "/checkout", "body")
+	io.WriteString(half.Conn, raw[:len(raw)-2])
+	half.Close() // nothing was taken
+	if got := r.dial(t).ask("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"); got != "200 " {
+		t.Errorf("ready: %s", got)
+	}
+	if len(ops)+len(r.left) != 0 {
+		t.Error("half a request became an op")
+	}
+}
+
+// Danger: with no socket left connections would wait in the backlog, their ops taken and unanswered. Idle
+// connections go first; a running op is never cut.
+func TestSocketsRunShort(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 2, func(op *node.Op) {
+		if op.Category == 1 {
+			ops <- op
+			return
+		}
+		served(op)
+	})
+	running := r.dial(t)
+	io.WriteString(running.Conn, request("GET", "/browse", ""))
+	op := <-ops
+	for range 5 {
+		if got := r.dial(t).ask(request("GET", "/checkout", "")); got != "200 GET /checkout " {
+			t.Errorf("got %s", got)
+		}
+	}
+	served(op)
+	if got := running.answer(); got != "200 GET /browse " {
+		t.Errorf("the running op: %s", got)
+	}
+}
+
+// A planned restart loses nothing: connections that come meanwhile are served and closed, ops in hand are
+// finished, and then the listener is gone and every socket is back.
+func TestDrain(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 8, func(op *node.Op) {
+		if op.Category == 1 {
+			ops <- op
+			return
+		}
+		served(op)
+	})
+	running, kept := r.dial(t), r.dial(t)
+	kept.ask(request("GET", "/checkout", ""))
+	io.WriteString(running.Conn, request("GET", "/browse", ""))
+	op := <-ops
+	var drained sync.WaitGroup
+	drained.Go(func() { r.Drain(r.served) })
+	for !r.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	for begun := time.Now(); time.Since(begun) < linger*4/5; time.Sleep(linger / 10) {
+		if got := r.dial(t).ask(request("GET", "/checkout", "")); got != "200 close GET /checkout " {
+			t.Errorf("a connection that came meanwhile: %s", got)
+		}
+	}
+	if got := kept.ask(request("GET", "/checkout", "")); got != "200 close GET /checkout " {
+		t.Errorf("a kept connection: %s", got)
+	}
+	time.Sleep(linger / 2)
+	if c, err := net.Dial("tcp", r.addr); err == nil {
+		c.Close()
+		t.Error("the listener still takes connections")
+	}
+	served(op)
+	if got := running.answer(); got != "200 close GET /browse " {
+		t.Errorf("the op in hand: %s", got)
+	}
+	drained.Wait()
+	ctx, cancel := context.WithTimeout(t.Context(), bound)
+	defer cancel()
+	for i := range 8 {
+		if r.part.Take(ctx) != nil {
+			t.Fatalf("%d of 8 sockets came back", i)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,7 @@
 
 // Arrive hands over an op. Its answer comes in any case.
 func (n *Node) Arrive(op *Op) {
-	n.send(arrived{op}, func() { op.answer <- Answer{Verdict: DeadLettered} })
+	n.send(arrived{op}, func() { op.Answer(Answer{Verdict: DeadLettered}) })
 }
 
 // Abandon says that the op's client has left. The answer still comes, to be thrown away.
@@ -158,7 +158,7 @@
 		case m := <-n.mail:
 			switch m := m.(type) {
 			case arrived:
-				m.op.answer <- Answer{Verdict: DeadLettered}
+				m.op.Answer(Answer{Verdict: DeadLettered})
 			case ended:
 				m.result.Body.Release()
 			}
@@ -251,7 +251,7 @@
 	op.settled = true
 	n.open--
 	n.timers.stop(op.overdue)
-	op.answer <- answer
+	op.Answer(answer)
 	op.Body.Release() // pushes still out hold it for themselves
 }
 
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -78,6 +78,9 @@
 // NewOp makes an op that can be waited for.
 func NewOp() *Op { return &Op{answer: make(chan Answer, 1)} }
 
+// Answer gives the op its answer. Only the module's actor calls it, once.
+func (o *Op) Answer(a Answer) { o.answer <- a }
+
 // Answered gives the final answer, once.
 func (o *Op) Answered() <-chan Answer { return o.answer }
 
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -53,7 +53,7 @@
 	}))
 	defer stand.Close()
 	defer close(release)
-	_, _, part, _ := sockets.Split(100)
+	part := sockets.NewPart(4)
 	r := New(Options{Addr: strings.TrimPrefix(stand.URL, "http://"), Zones: []string{"a", "b"}}, part, zerolog.Nop())
 	r.silence = 100 * time.Millisecond
 	known, err := r.Known([]byte(line(41, true, entry("s-1", "active", "127.0.0.1:1", 0))))
@@ -138,7 +138,7 @@
 		fmt.Fprintln(w, line(7, true))
 	}))
 	defer stand.Close()
-	_, _, part, _ := sockets.Split(100)
+	part := sockets.NewPart(4)
 	r := New(Options{Addr: strings.TrimPrefix(stand.URL, "http://"), Unasked: true, Again: time.Millisecond}, part,
 		zerolog.Nop())
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -33,6 +33,7 @@
 	started   policy.Micros
 	mail      chan *node.Push
 	transport *http.Transport
+	part      *sockets.Part
 	end       func(*node.Push, node.Result)
 }
 
@@ -55,7 +56,7 @@
 		MaxResponseHeaderBytes: node.MostBody,
 	}
 	return &peer{addr: addr, started: started, mail: make(chan *node.Push, options.MostOut), transport: transport,
-		end: end}
+		part: part, end: end}
 }
 
 // run carries each push in a goroutine of its own, until the mailbox is closed and the last push has ended.
@@ -125,7 +126,8 @@
 		request.TransferEncoding = []string{"identity"}
 	}
 	return request.WithContext(httptrace.WithClientTrace(push.Context, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { way.begin(info.Conn) },
+		GotConn:     func(info httptrace.GotConnInfo) { way.begin(info.Conn) },
+		PutIdleConn: func(error) { p.part.Idle() },
 	}))
 }
 
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -87,7 +87,7 @@
 
 func newRig(t *testing.T, addr string) *rig {
 	t.Helper()
-	_, part, _, _ := sockets.Split(64)
+	part := sockets.NewPart(18)
 	r := &rig{part: part, ended: make(chan node.Result, 64)}
 	r.Pool = New(Options{Dial: 200 * time.Millisecond, IdleClose: 5 * time.Second, MostOut: 8}, part, zerolog.Nop(),
 		func(_ *node.Push, result node.Result) { r.ended <- result })
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -19,9 +20,10 @@
 // Part is a share of the budget. What a part holds never exceeds it, so that no side can starve another: clients
 // in number can't take the sockets that answer them.
 type Part struct {
-	room *semaphore.Weighted
-	shed func() // gives idle connections back; called when the part runs short
-	size int64
+	room    *semaphore.Weighted
+	shed    func() // gives idle connections back; called when the part runs short
+	size    int
+	waiting atomic.Int32
 }
 
 // Split divides the limit of a process among clients, servers and the registry, and says how many ops may be in
@@ -32,17 +34,18 @@
 // shortage would look like servers that can't be reached. So servers have room for second pushes and for
 // connections that are just being closed.
 func Split(limit int) (clients, servers, registry *Part, ops int) {
-	rest := int64(limit - reserve - registryShare)
+	rest := limit - reserve - registryShare
 	forServers := rest * 15 / 32
-	return newPart(rest - forServers), newPart(forServers), newPart(registryShare), int(rest * 13 / 32)
+	return NewPart(rest - forServers), NewPart(forServers), NewPart(registryShare), rest * 13 / 32
 }
 
-func newPart(size int64) *Part {
-	return &Part{room: semaphore.NewWeighted(size), shed: func() {}, size: size}
+// NewPart makes a part of so many sockets.
+func NewPart(size int) *Part {
+	return &Part{room: semaphore.NewWeighted(int64(size)), shed: func() {}, size: size}
 }
 
 // Size is how many sockets the part may hold.
-func (p *Part) Size() int { return int(p.size) }
+func (p *Part) Size() int { return p.size }
 
 // OnShort names what gives idle connections back. It must be called before the part is used.
 func (p *Part) OnShort(shed func()) { p.shed = shed }
@@ -53,10 +56,20 @@
 	if p.room.TryAcquire(1) {
 		return nil
 	}
+	p.waiting.Add(1)
+	defer p.waiting.Add(-1)
 	p.shed()
 	return p.room.Acquire(ctx, 1)
 }
 
+// Idle says that a connection has fallen idle. Danger: one that does so while somebody waits for room would keep
+// it, and the one that waits would wait as long as it stays idle.
+func (p *Part) Idle() {
+	if p.waiting.Load() > 0 {
+		p.shed()
+	}
+}
+
 // Give gives the room of one socket back that never opened.
 func (p *Part) Give() { p.room.Release(1) }
 
