--- /dev/null
+++ b/cmd/canvasrouter/main_test.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// asNode makes the test's own program run as a node.
+const asNode = "CANVASROUTER_TEST_AS_NODE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asNode) != "" {
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+type process struct {
+	*exec.Cmd
+	log bytes.Buffer
+}
+
+// start runs the example's configuration, changed, as a process of its own.
+func start(t *testing.T, changes ...string) *process {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(strings.NewReplacer(changes...).Replace(string(raw))), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := &process{Cmd: exec.Command(os.Args[0])}
+	p.Env = append(os.Environ(), asNode+"=1", "NODE_CONFIG="+path)
+	p.Stderr = &p.log
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stop := time.AfterFunc(20*time.Second, func() { p.Process.Kill() })
+	t.Cleanup(func() { stop.Stop(); p.Process.Kill() })
+	return p
+}
+
+// free is an address that nobody listens at.
+func free(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// A bad configuration is one line that names the key, and a non-zero exit.
+func TestBadConfig(t *testing.T) {
+	for _, c := range [][3]string{
+		{`"tick": 5.0`, `"tick": "often"`, "setting tick is no number"},
+		{`"hostPort": "127.0.0.1:8181"`, `"hostPort": "nowhere"`, "key known: instance"},
+		{`"listen": "127.0.0.1:8081"`, `"listen": "127.0.0.1:99999"`, "key listen"},
+	} {
+		p := start(t, c[0], c[1])
+		err := p.Wait()
+		if err == nil || strings.Count(p.log.String(), "\n") != 1 || !strings.Contains(p.log.String(), c[2]) {
+			t.Errorf("%s: exit %v, log %q", c[1], err, p.log.String())
+		}
+	}
+}
+
+// A node is ready without a registry, serves an op with a server's bytes, and at SIGTERM finishes what it has,
+// takes what still comes, and exits 0.
+func TestPlannedRestart(t *testing.T) {
+	begun, finish := make(chan bool, 1), make(chan bool)
+	var once sync.Once
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			once.Do(func() { begun <- true })
+			<-finish
+		}
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %s", r.Header.Get("X-Txn"), r.RequestURI, body)
+	}))
+	defer stand.Close()
+	addr := free(t)
+	p := start(t, "127.0.0.1:8081", addr, "127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://"), "127.0.0.1:8500", free(t))
+	for begin := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get("http://" + addr + "/-/ready")
+		if err == nil {
+			response.Body.Close()
+			break
+		}
+		if time.Since(begin) > 10*time.Second {
+			t.Fatal("never ready")
+		}
+	}
+	ask := func(path string) string {
+		request, _ := http.NewRequest("POST", "http://"+addr+path, strings.NewReader("body"))
+		request.Header.Set("X-Txn", "9b1f")
+		request.Header.Set("X-Remaining-Ms", "2500")
+		response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+		if err != nil {
+			return err.Error()
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return fmt.Sprint(response.StatusCode, " ", string(body))
+	}
+	var slow sync.WaitGroup
+	slow.Go(func() {
+		if got := ask("/checkout/slow"); got != "200 9b1f /checkout/slow body" {
+			t.Errorf("the op in hand: %s", got)
+		}
+	})
+	<-begun
+	p.Process.Signal(syscall.SIGTERM)
+	time.Sleep(100 * time.Millisecond)
+	if got := ask("/checkout/a//b?k=%2f"); got != "200 9b1f /checkout/a//b?k=%2f body" {
+		t.Errorf("an op that came meanwhile: %s", got)
+	}
+	time.Sleep(600 * time.Millisecond)
+	close(finish)
+	slow.Wait()
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v, log %s", err, p.log.String())
+	}
+}
