A silent watch ends after 4.5 s; answers close connections while draining

Seen by reading PROTOCOL's figures: a change counts as told 6 s after it, so a watch must be given up and asked for again within that; 6 s and 10 s were too long.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -231,6 +231,9 @@
 
 func (s *Server) write(w http.ResponseWriter, answer node.Answer) {
 	defer answer.Body.Release()
+	if s.draining.Load() || answer.Excess {
+		w.Header().Set("Connection", "close")
+	}
 	switch answer.Verdict {
 	case node.Acked:
 		header := w.Header()
@@ -241,9 +244,6 @@
 		w.WriteHeader(http.StatusOK)
 		w.Write(answer.Body.Bytes())
 	case node.Nacked:
-		if answer.Excess {
-			w.Header().Set("Connection", "close")
-		}
 		if answer.RetryAfter > 0 {
 			seconds := float64(answer.RetryAfter) / float64(policy.Second)
 			w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,7 +40,9 @@
 	stopped  chan struct{}
 
 	ops     map[policy.OpID]*Op
-	open    int // of them not settled
+	open    int           // of them not settled
+	excess  int           // nacked for want of sockets since that was
+	told    policy.Micros // in the log
 	last    policy.OpID
 	now     policy.Micros // of the last step
 	timers  timers
@@ -187,6 +189,10 @@
 	n.open++
 	if n.open > n.options.MostOpen {
 		n.settle(op, Answer{Verdict: Nacked, Excess: true})
+		if n.excess++; n.now-n.told >= policy.Second {
+			n.log.Warn().Int("nacked", n.excess).Int("in hand", n.open).Msg("more ops than sockets allow")
+			n.excess, n.told = 0, n.now
+		}
 		return
 	}
 	for n.last++; n.last == 0 || n.ops[n.last] != nil; n.last++ {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -21,10 +21,12 @@
 
 const (
 	path = "/api/targets"
-	// mostSilence ends a watch: while nothing changes an empty line comes every 2 s.
-	mostSilence = 3 * 2 * time.Second
-	// callWait ends a call that gets no answer: the registry works through calls in turn, for seconds.
-	callWait = 10 * time.Second
+	// mostSilence ends a watch: while nothing changes an empty line comes every 2 s. Danger: a node that is cut
+	// off from the registry counts as told of a change 6 s after it; one that waits out three lines could not
+	// ask again in time.
+	mostSilence = 2*2*time.Second + 500*time.Millisecond
+	// callWait ends a call that gets no answer: the registry works through calls in turn, for some seconds.
+	callWait = 5 * time.Second
 	dialWait = time.Second
 	longest  = 8 << 20 // of a line
 )
