--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,22 +32,6 @@
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 )
 
-// throttle is the overload control towards one server, or all of a quiet node (clause 8.2).
-type throttle struct {
-	of                string // server, in the log
-	marks, accepted   rate
-	target            float64 // marks a second that control steers to
-	slow              float64 // share of recent answers past target latency
-	on                bool
-	cut               int
-	interval          Micros // LeakInterval
-	count, leak       float64
-	high, low         float64 // bounds of LeakAmount
-	leaked, quiet     Micros  // last leak; last mark or rejection
-	since, marked     Micros  // start; last mark
-	offered, rejected int
-}
-
 func newThrottle(of string, tick Micros) throttle {
 	return throttle{of: of, target: target, interval: leakTicks * tick}
 }
@@ -115,22 +99,6 @@
 	return ""
 }
 
-// server is what the node knows of one server.
-type server struct {
-	Entry
-	throttle
-	held     int     // pushes out
-	turn     float64 // of the weighted rotation
-	pace     float64 // recent answer times, as a multiple of their categories'
-	errors   float64 // share of recent pushes that ended in an error
-	failures int     // in a row
-	heard    Micros  // last answer of any kind
-	down     Micros  // no push before this
-	used     bool    // in this node's rotation
-	tried    uint64  // the round of pick that passed it over
-	part     tokens  // while cold: this node's part of what it can do
-}
-
 // observe learns from the end of a push: marks, and the health of the server.
 func (s *server) observe(now, sent Micros, how Outcome, dial Micros, common *float64) (mark bool) {
 	if how == Acked || how == Errored {
@@ -175,11 +143,6 @@
 	return 1
 }
 
-type registry struct {
-	RegistryRule
-	next, wait Micros // next call, 0 while subscribed; last wait after a failure
-}
-
 // heard plans the next call. Danger: the whole fleet may start, or lose the registry, together, and it is
 // one small service: calls are spread at random and back off.
 func (r *registry) heard(now Micros, form ListForm, rng *rand.Rand) {
@@ -222,41 +185,6 @@
 // neverRan holds the outcomes that prove it.
 var neverRan = [...]bool{Full: true, ConnectFailed: true, Moot: true}
 
-// Node decides for one balancer.
-type Node struct {
-	now       Micros
-	rng       *rand.Rand
-	place     Place
-	rule      PushRule
-	cold      ColdRule
-	registry  registry
-	kinds     []Category
-	took      []answers // by category
-	levels    []float64 // distinct benefits, ascending
-	offered   rate      // ops that came
-	acks      rate
-	shares    ShareRule
-	allowance []tokens // by tenant
-	servers   []server
-	byID      map[ServerID]int32
-	ops       []op
-	free      []int32
-	byOp      map[OpID]int32
-	errors    float64  // share of recent answers of all servers that are errors
-	again     float64  // further pushes saved up
-	carry     float64  // acks a second of a warm server, over a longer time
-	bearable  float64  // pushes a second that a warm server of this node surely bears
-	round     uint64   // of pick
-	full      bool     // a server here turns ops away
-	all       throttle // of all servers together, while each is too quiet to be seen
-	up, out   float64  // servers in the rotation that are not down; pushes out
-	ring      []int32  // ready servers by id
-	moved     int      // exchanges so far
-	beatAt    Micros   // next beat of the steering
-	beats     float64  // that carry remembers
-	effects   []Effect
-}
-
 // New starts a node that knows no server yet.
 func New(seed int64, place Place, kinds []Category, shares ShareRule, rule PushRule, cold ColdRule,
 	reg RegistryRule) *Node {
@@ -667,3 +595,59 @@
 func (c *Category) harmless() bool {
 	return c.Repeat == Redeliverable || c.Repeat == Deduplicated && c.Scope == ScopeAll
 }
+
+// What a node remembers of what it saw follows.
+
+func (r *rate) read(now Micros) float64 {
+	if now > r.at {
+		r.value *= math.Exp(-float64(now-r.at) / float64(period))
+		r.at = now
+	}
+	return r.value
+}
+
+func (r *rate) add(now Micros) {
+	if r.first == 0 {
+		r.first = now
+	}
+	r.value = r.read(now) + float64(Second)/float64(period)
+}
+
+// whole is the rate less the shortfall of a memory that is not yet full.
+func (r *rate) whole(now Micros) float64 {
+	return r.read(now) / (1 - math.Exp(-float64(max(beat, now-r.first))/float64(period)))
+}
+
+func (a *answers) learn(took Micros) {
+	learn(&a.dev, math.Abs(float64(took)-a.mean), shareMemory)
+	learn(&a.mean, float64(took), shareMemory)
+}
+
+// learn moves a recent mean towards x.
+func learn(mean *float64, x, memory float64) { *mean += (x - *mean) / memory }
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// room is the place of a server that is gone and holds nothing, or a new one.
+func (n *Node) room() int32 {
+	for i := range n.servers {
+		if s := &n.servers[i]; s.State == Gone && s.held == 0 {
+			delete(n.byID, s.Server)
+			return int32(i)
+		}
+	}
+	n.servers = append(n.servers, server{})
+	return int32(len(n.servers) - 1)
+}
+
+// fill adds rate a second, up to most, and returns what is left.
+func (a *tokens) fill(now Micros, rate, most float64) float64 {
+	a.left = min(most, a.left+rate*float64(now-a.at)/float64(Second))
+	a.at = now
+	return a.left
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -1,5 +1,7 @@
 package policy
 
+import "math/rand"
+
 // Micros is a time or a span in whole microseconds.
 type Micros int64
 
@@ -245,3 +247,86 @@
 	left float64
 	at   Micros
 }
+
+// throttle is the overload control towards one server, or all of a quiet node (clause 8.2).
+type throttle struct {
+	of                string // server, in the log
+	marks, accepted   rate
+	target            float64 // marks a second that control steers to
+	slow              float64 // share of recent answers past target latency
+	on                bool
+	cut               int
+	interval          Micros // LeakInterval
+	count, leak       float64
+	high, low         float64 // bounds of LeakAmount
+	leaked, quiet     Micros  // last leak; last mark or rejection
+	since, marked     Micros  // start; last mark
+	offered, rejected int
+}
+
+// server is what the node knows of one server.
+type server struct {
+	Entry
+	throttle
+	held     int     // pushes out
+	turn     float64 // of the weighted rotation
+	pace     float64 // recent answer times, as a multiple of their categories'
+	errors   float64 // share of recent pushes that ended in an error
+	failures int     // in a row
+	heard    Micros  // last answer of any kind
+	down     Micros  // no push before this
+	used     bool    // in this node's rotation
+	tried    uint64  // the round of pick that passed it over
+	part     tokens  // while cold: this node's part of what it can do
+}
+
+// registry is the subscription to the list.
+type registry struct {
+	RegistryRule
+	next, wait Micros // next call, 0 while subscribed; last wait after a failure
+}
+
+// Node decides for one balancer.
+type Node struct {
+	now       Micros
+	rng       *rand.Rand
+	place     Place
+	rule      PushRule
+	cold      ColdRule
+	registry  registry
+	kinds     []Category
+	took      []answers // by category
+	levels    []float64 // distinct benefits, ascending
+	offered   rate      // ops that came
+	acks      rate
+	shares    ShareRule
+	allowance []tokens // by tenant
+	servers   []server
+	byID      map[ServerID]int32
+	ops       []op
+	free      []int32
+	byOp      map[OpID]int32
+	errors    float64  // share of recent answers of all servers that are errors
+	again     float64  // further pushes saved up
+	carry     float64  // acks a second of a warm server, over a longer time
+	bearable  float64  // pushes a second that a warm server of this node surely bears
+	round     uint64   // of pick
+	full      bool     // a server here turns ops away
+	all       throttle // of all servers together, while each is too quiet to be seen
+	up, out   float64  // servers in the rotation that are not down; pushes out
+	ring      []int32  // ready servers by id
+	moved     int      // exchanges so far
+	beatAt    Micros   // next beat of the steering
+	beats     float64  // that carry remembers
+	effects   []Effect
+}
+
+// rate is a number a second that forgets at the pace of one period.
+type rate struct {
+	value float64
+	at    Micros
+	first Micros // when it began to count
+}
+
+// answers is the recent answer time of a category.
+type answers struct{ mean, dev, usual float64 }
