--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -36,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, "canvasrouter: log lines lost:", lost)
 	})
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger().Level(zerolog.InfoLevel)
+	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger().Level(c.LogLevel)
 	err = run(c, log)
 	if err != nil {
 		log.Error().Err(err).Msg("node ends")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"canvasrouter/policy"
 )
 
@@ -18,6 +20,7 @@
 	defaultCores    = 1
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
+	defaultLogLevel = "info"
 	fewestSockets   = 64
 	leastMemoryMB   = 32
 )
@@ -50,6 +53,7 @@
 	Listen    string `json:"listen"`
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"`
+	LogLevel  string `json:"log_level"`
 	Limits    struct {
 		Cores    *float64 `json:"cores"`
 		MemoryMB *int     `json:"memory_mb"`
@@ -118,6 +122,11 @@
 	case len(d.Settings) == 0:
 		return nil, errors.New("key settings is missing")
 	}
+	level, err := zerolog.ParseLevel(or(d.LogLevel, defaultLogLevel))
+	if err != nil {
+		return nil, fmt.Errorf("key log_level: %w", err)
+	}
+	c.LogLevel = level
 	s := fromJSON(d.Settings)
 	c.Rules = s.rules()
 	c.IdleClose = time.Duration(Micros(s.numberOr("limits.idle_close", 0))) * time.Microsecond
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,7 @@
 		"no address":        {`"127.0.0.1:8081"`, `"somewhere"`, "key listen: address somewhere"},
 		"no registry":       {`"discovery"`, `"elsewhere"`, "key discovery: missing port"},
 		"a seed":            {`"8c1f30d27a5be964"`, `"lucky"`, `key seed: "lucky" is no hexadecimal number`},
+		"a log level":       {`"seed"`, `"log_level": "loud", "seed"`, "key log_level: "},
 		"no settings":       {`"settings"`, `"other"`, "key settings is missing"},
 		"a setting missing": {`"dial_timeout"`, `"timeout"`, "setting limits.dial_timeout is missing"},
 		"no number":         {`"cold": 7800.0`, `"cold": "long"`, `setting safety.cold is no number: "long"`},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -238,6 +238,10 @@
 	} else {
 		result.Body.Release()
 	}
+	if line := n.log.Debug(); line.Enabled() {
+		line.Uint32("op", uint32(op.id)).Uint8("push", uint8(push.no)).Str("server", fmt.Sprintf("%012x", push.Server)).
+			Stringer("outcome", result.Outcome).Int64("took_ms", int64(took/policy.Millisecond)).Msg("push ended")
+	}
 	n.step(&policy.Input{Kind: policy.PushEnded, Op: op.id, Push: push.no, Server: push.Server,
 		Outcome: result.Outcome, Took: max(0, took), Settled: op.settled})
 	n.forget(op)
@@ -256,6 +260,10 @@
 	}
 	op.settled = true
 	n.open--
+	if line := n.log.Debug(); line.Enabled() {
+		line.Uint32("op", uint32(op.id)).Uint8("category", uint8(op.Category)).Stringer("verdict", answer.Verdict).
+			Int("pushes", len(op.pushes)).Int64("left_ms", n.clock.Until(op.NotAfter).Milliseconds()).Msg("answer")
+	}
 	n.timers.stop(op.overdue)
 	op.Answer(answer)
 	op.Body.Release() // pushes still out hold it for themselves
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,10 +24,7 @@
 	last   policy.Micros
 }
 
-var (
-	kinds    = [...]string{"arrived", "ended", "abandoned", "began", "woken", "probed", "list"}
-	outcomes = [...]string{"acked", "errored", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}
-)
+var kinds = [...]string{"arrived", "ended", "abandoned", "began", "woken", "probed", "list"}
 
 func (m *module) Step(now policy.Micros, in *policy.Input) []policy.Effect {
 	if now < m.last {
@@ -36,7 +33,7 @@
 	m.last = now
 	line := "module: " + kinds[in.Kind]
 	if in.Kind == policy.PushEnded {
-		line += fmt.Sprintf(" push %d %s after %d ms settled %v", in.Push, outcomes[in.Outcome], in.Took/1000, in.Settled)
+		line += fmt.Sprintf(" push %d %s after %d ms settled %v", in.Push, in.Outcome, in.Took/1000, in.Settled)
 	}
 	m.note(line)
 	if m.script == nil {
@@ -106,7 +103,7 @@
 func (r *rig) answer(op *Op) {
 	select {
 	case a := <-op.Answered():
-		line := "client: " + [...]string{"acked", "nacked", "dead-lettered", "left"}[a.Verdict]
+		line := "client: " + a.Verdict.String()
 		if a.Body != nil {
 			line += " " + string(a.Body.Bytes())
 			a.Body.Release()
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -49,6 +49,8 @@
 	Left                 // the client went first: nobody to answer
 )
 
+func (v Verdict) String() string { return [...]string{"acked", "nacked", "dead-lettered", "left"}[v] }
+
 // Answer is an op's one final answer. Who takes it releases its body.
 type Answer struct {
 	Verdict    Verdict
--- a/policy/types.go
+++ b/policy/types.go
@@ -134,6 +134,10 @@
 	Moot
 )
 
+func (o Outcome) String() string {
+	return [...]string{"acked", "errored", "full", "timed out", "connect failed", "reset", "cancelled", "moot"}[o]
+}
+
 // InputKind says which fields of an Input count.
 type InputKind uint8
 
