--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -31,6 +31,7 @@
 	Listen      string // where clients connect
 	Discovery   string // the registry
 	Seed        uint64
+	LogLevel    zerolog.Level
 	Cores       float64
 	MemoryMB    int
 	Sockets     int
