A log that nobody reads holds up neither ops nor the exit

Found by reading: closing the log's writer waits for its last line, for ever if the pipe is full; the test was seen to fail without the bound. A dial into a full backlog ends in the dial time and gives its socket back (test only).

--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	stdlog "log"
 	"math"
 	"os"
 	"os/signal"
@@ -26,6 +27,9 @@
 // logLines is how many lines may wait to be written; past that the oldest are lost, and no op waits for one.
 const logLines = 4096
 
+// lastLines is how long the exit waits for the log's last lines to be written.
+const lastLines = 200 * time.Millisecond
+
 func main() {
 	c, err := config.Load(os.Getenv)
 	if err != nil {
@@ -37,11 +41,18 @@
 	})
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
 	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger().Level(c.LogLevel)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.With().Str("from", "library").Logger())
 	err = run(c, log)
 	if err != nil {
 		log.Error().Err(err).Msg("node ends")
 	}
-	lines.Close()
+	written := make(chan struct{})
+	go func() { lines.Close(); close(written) }()
+	select {
+	case <-written:
+	case <-time.After(lastLines): // Danger: nobody may read the log any more, and the exit would wait for ever
+	}
 	if err != nil {
 		os.Exit(1)
 	}
--- a/cmd/canvasrouter/main_test.go
+++ b/cmd/canvasrouter/main_test.go
@@ -34,7 +34,7 @@
 }
 
 // start runs the example's configuration, changed, as a process of its own.
-func start(t *testing.T, changes ...string) *process {
+func start(t *testing.T, prepare func(*process), changes ...string) *process {
 	t.Helper()
 	raw, err := os.ReadFile("../../deploy/example.json")
 	if err != nil {
@@ -47,6 +47,7 @@
 	p := &process{Cmd: exec.Command(os.Args[0])}
 	p.Env = append(os.Environ(), asNode+"=1", "NODE_CONFIG="+path)
 	p.Stderr = &p.log
+	prepare(p)
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -65,6 +66,34 @@
 	return l.Addr().String()
 }
 
+func awaitReady(t *testing.T, addr string) {
+	t.Helper()
+	for begin := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		response, err := http.Get("http://" + addr + "/-/ready")
+		if err == nil {
+			response.Body.Close()
+			break
+		}
+		if time.Since(begin) > 10*time.Second {
+			t.Fatal("never ready")
+		}
+	}
+}
+
+// ask sends an op on a connection of its own.
+func ask(addr, path string) string {
+	request, _ := http.NewRequest("POST", "http://"+addr+path, strings.NewReader("body"))
+	request.Header.Set("X-Txn", "9b1f")
+	request.Header.Set("X-Remaining-Ms", "2500")
+	response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return fmt.Sprint(response.StatusCode, " ", string(body))
+}
+
 // A bad configuration is one line that names the key, and a non-zero exit.
 func TestBadConfig(t *testing.T) {
 	for _, c := range [][3]string{
@@ -72,7 +101,7 @@
 		{`"hostPort": "127.0.0.1:8181"`, `"hostPort": "nowhere"`, "key known: instance"},
 		{`"listen": "127.0.0.1:8081"`, `"listen": "127.0.0.1:99999"`, "key listen"},
 	} {
-		p := start(t, c[0], c[1])
+		p := start(t, func(*process) {}, c[0], c[1])
 		err := p.Wait()
 		if err == nil || strings.Count(p.log.String(), "\n") != 1 || !strings.Contains(p.log.String(), c[2]) {
 			t.Errorf("%s: exit %v, log %q", c[1], err, p.log.String())
@@ -95,39 +124,18 @@
 	}))
 	defer stand.Close()
 	addr := free(t)
-	p := start(t, "127.0.0.1:8081", addr, "127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://"), "127.0.0.1:8500", free(t))
-	for begin := time.Now(); ; time.Sleep(10 * time.Millisecond) {
-		response, err := http.Get("http://" + addr + "/-/ready")
-		if err == nil {
-			response.Body.Close()
-			break
-		}
-		if time.Since(begin) > 10*time.Second {
-			t.Fatal("never ready")
-		}
-	}
-	ask := func(path string) string {
-		request, _ := http.NewRequest("POST", "http://"+addr+path, strings.NewReader("body"))
-		request.Header.Set("X-Txn", "9b1f")
-		request.Header.Set("X-Remaining-Ms", "2500")
-		response, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(request)
-		if err != nil {
-			return err.Error()
-		}
-		defer response.Body.Close()
-		body, _ := io.ReadAll(response.Body)
-		return fmt.Sprint(response.StatusCode, " ", string(body))
-	}
+	p := start(t, func(*process) {}, "127.0.0.1:8081", addr, "127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://"), "127.0.0.1:8500", free(t))
+	awaitReady(t, addr)
 	var slow sync.WaitGroup
 	slow.Go(func() {
-		if got := ask("/checkout/slow"); got != "200 9b1f /checkout/slow body" {
+		if got := ask(addr, "/checkout/slow"); got != "200 9b1f /checkout/slow body" {
 			t.Errorf("the op in hand: %s", got)
 		}
 	})
 	<-begun
 	p.Process.Signal(syscall.SIGTERM)
 	time.Sleep(100 * time.Millisecond)
-	if got := ask("/checkout/a//b?k=%2f"); got != "200 9b1f /checkout/a//b?k=%2f body" {
+	if got := ask(addr, "/checkout/a//b?k=%2f"); got != "200 9b1f /checkout/a//b?k=%2f body" {
 		t.Errorf("an op that came meanwhile: %s", got)
 	}
 	time.Sleep(600 * time.Millisecond)
@@ -137,3 +145,26 @@
 		t.Errorf("exit: %v, log %s", err, p.log.String())
 	}
 }
+
+// Danger: a log that nobody reads fills its pipe; no op and no exit may wait for it.
+func TestBlockedLog(t *testing.T) {
+	addr := free(t)
+	unread, log, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer unread.Close()
+	defer log.Close()
+	p := start(t, func(p *process) { p.Stderr = log }, "127.0.0.1:8081", addr, "127.0.0.1:8181", free(t), "127.0.0.1:8500", free(t),
+		`"seed"`, `"log_level": "debug", "seed"`)
+	awaitReady(t, addr)
+	for range 1000 { // some 300 bytes each; a pipe holds 64 KiB
+		if got := ask(addr, "/checkout"); got != "503 " {
+			t.Fatal(got)
+		}
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -408,6 +410,35 @@
 	}
 }
 
+// A connection that never comes up fails within the dial time and gives its socket back.
+func TestNeverUp(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for full := false; !full; { // its backlog is never emptied
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if full = err != nil; !full {
+			defer c.Close()
+		}
+	}
+	r := newRig(t, addr)
+	begun := time.Now()
+	if got := r.carry(t, push(t.Context(), "POST", "/a", "body")); got != policy.ConnectFailed {
+		t.Errorf("outcome %d", got)
+	}
+	if took := time.Since(begun); took > bound/2 {
+		t.Errorf("took %v", took)
+	}
+	r.allFree(t)
+}
+
 // Idle connections go first when sockets run short, also those of other servers.
 func TestShort(t *testing.T) {
 	serve := func(c net.Conn, in *bufio.Reader) {
