Deadlines of a client's connection are set anew for each request

Found by reading: net/http drains an unwanted body with no deadline, so a stalled one held its socket for ever, and the write deadline of an op stayed on its kept connection, which then closed instead of answering 4xx. Body buffers grow once to the length told. Memory down to 16 MB and sockets down to 40 are accepted as configured.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -118,6 +118,11 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	// Danger: the library clears neither deadline between requests, and reads on after an answer to the end of a
+	// body that may never come.
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(time.Now().Add(writeWait))
+	control.SetWriteDeadline(time.Now().Add(2 * writeWait))
 	var op *node.Op
 	defer func() {
 		switch v := recover(); v {
@@ -178,7 +183,7 @@
 	wait := time.Duration(remaining) * time.Millisecond
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(wait + writeWait)) // a body that never comes
-	body, err := node.ReadPayload(r.Body)
+	body, err := node.ReadPayload(r.Body, r.ContentLength)
 	if err != nil {
 		w.Header().Set("Connection", "close")
 		if errors.Is(err, node.ErrTooLong) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -21,8 +21,8 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	defaultLogLevel = "info"
-	fewestSockets   = 64
-	leastMemoryMB   = 32
+	fewestSockets   = 40
+	leastMemoryMB   = 16
 )
 
 // Config is all that a node is told at its start.
--- a/internal/node/payload.go
+++ b/internal/node/payload.go
@@ -22,11 +22,15 @@
 	holders atomic.Int32
 }
 
-// ReadPayload reads r to its end; the caller holds the payload. Over MostBody it fails with ErrTooLong.
-func ReadPayload(r io.Reader) (*Payload, error) {
+// ReadPayload reads r to its end, of which size is known or negative; the caller holds the payload. Over MostBody
+// it fails with ErrTooLong.
+func ReadPayload(r io.Reader, size int64) (*Payload, error) {
 	p := &Payload{buffer: buffers.Get().(*bytes.Buffer)}
 	p.holders.Store(1)
 	p.buffer.Reset()
+	if size > 0 && size <= MostBody {
+		p.buffer.Grow(int(size) + bytes.MinRead) // once, rather than doubling past what is needed
+	}
 	n, err := p.buffer.ReadFrom(io.LimitReader(r, MostBody+1))
 	if err == nil && n > MostBody {
 		err = ErrTooLong
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -160,7 +160,7 @@
 // acked reads a 200 answer. One that ends early, or does not say where it ends, can't be told from a broken one.
 func (w *passage) acked(ctx context.Context, response *http.Response) node.Result {
 	chunked := len(response.TransferEncoding) > 0
-	body, err := node.ReadPayload(response.Body)
+	body, err := node.ReadPayload(response.Body, response.ContentLength)
 	switch {
 	case err == nil && (response.ContentLength >= 0 || chunked):
 		header := response.Header
