--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,9 +19,6 @@
 // of one op or one push, and holds up nothing else.
 const mailbox = 256
 
-// batch is how many messages are read before timers are looked at again.
-const batch = 64
-
 // Options are the actor's few settings.
 type Options struct {
 	MostOpen int           // ops in hand and not settled
@@ -129,9 +126,9 @@
 	}
 }
 
-// drain reads what has already come. An answer in the mailbox goes before a time-out that is due.
+// drain reads what has already come, a mailbox full at most. An answer in the mailbox goes before a time-out that is due.
 func (n *Node) drain() {
-	for range batch {
+	for range mailbox {
 		select {
 		case m := <-n.mail:
 			n.receive(m)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -55,7 +55,9 @@
 	defer close(release)
 	part := sockets.NewPart(4)
 	r := New(Options{Addr: strings.TrimPrefix(stand.URL, "http://"), Zones: []string{"a", "b"}}, part, zerolog.Nop())
-	r.silence = 100 * time.Millisecond
+	if hold {
+		r.silence = 100 * time.Millisecond
+	}
 	known, err := r.Known([]byte(line(41, true, entry("s-1", "active", "127.0.0.1:1", 0))))
 	if err != nil {
 		t.Fatal(err)
