--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -67,7 +67,7 @@
 	actor := node.New(node.Options{MostOpen: min(most, c.MostOpen), Slack: c.AnswerSlack},
 		c.Rules.NewNode(c.Seed), clock, log.With().Str("part", "node").Logger())
 	list := registry.New(registry.Options{Addr: c.Discovery, Zones: c.Names.Zones, Kinds: c.Names.Kinds,
-		Unasked: !c.Rules.Registry.Ask, Again: time.Second}, forRegistry,
+		Unasked: !c.Rules.Registry.Ask, Again: time.Second, Seed: c.Seed}, forRegistry,
 		log.With().Str("part", "registry").Logger())
 	known, err := list.Known(c.Known)
 	if err != nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand"
 	"net"
 	"net/http"
 	"time"
@@ -26,9 +27,10 @@
 	// ask again in time.
 	mostSilence = 2*2*time.Second + 500*time.Millisecond
 	// callWait ends a call that gets no answer: the registry works through calls in turn, for some seconds.
-	callWait = 5 * time.Second
-	dialWait = time.Second
-	longest  = 8 << 20 // of a line
+	callWait  = 5 * time.Second
+	dialWait  = time.Second
+	longest   = 8 << 20 // of a line
+	mostAgain = 8       // times Again
 )
 
 // Options say where the registry is and what its words mean.
@@ -36,7 +38,8 @@
 	Addr         string
 	Zones, Kinds []string
 	Unasked      bool          // changes come without the module asking, so the actor keeps the watch up by itself
-	Again        time.Duration // between two such watches
+	Again        time.Duration // between two such watches, more after each that failed
+	Seed         uint64
 }
 
 // Registry is the actor. Known and Start come first.
@@ -50,6 +53,8 @@
 	client     *http.Client
 	asked      chan struct{} // holds one: asking twice is asking once
 	tell       func(*node.List)
+	again      time.Duration // present wait where changes come unasked
+	rng        *rand.Rand
 }
 
 // New makes the actor; tell takes what the registry says.
@@ -57,6 +62,7 @@
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
 	return &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
 		asked: make(chan struct{}, 1), silence: mostSilence,
+		again: options.Again, rng: rand.New(rand.NewSource(int64(options.Seed))),
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -130,9 +136,12 @@
 	r.log.Warn().Err(err).Uint64("generation", r.generation).Msg("watch of the list ended")
 	r.tell(&node.List{Form: policy.ListFailed})
 	if r.options.Unasked {
+		// Danger: the whole fleet may lose a small registry together; it comes back at random, and ever later.
+		wait := r.again/2 + time.Duration(r.rng.Int63n(int64(r.again)))
+		r.again = min(2*r.again, mostAgain*r.options.Again)
 		select {
 		case <-ctx.Done():
-		case <-time.After(r.options.Again):
+		case <-time.After(wait):
 			r.Watch()
 		}
 	}
@@ -186,6 +195,7 @@
 }
 
 func (r *Registry) take(list *node.List, generation uint64) {
+	r.again = r.options.Again
 	r.generation, r.held = generation, true
 	r.log.Info().Uint64("generation", generation).Int("entries", len(list.Entries)).
 		Bool("whole", list.Form == policy.ListWhole).Msg("list")
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -154,6 +156,42 @@
 	}
 }
 
+// Danger: a whole fleet that lost its registry would come back in step and at once. Where nodes watch by
+// themselves they wait longer after each failure, each for a time of its own, until a list has come.
+func TestUnaskedSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		starts := map[uint64][]time.Duration{}
+		for seed := range uint64(2) {
+			begun, watched := time.Now(), 0
+			r := New(Options{Unasked: true, Again: time.Second, Seed: seed}, sockets.NewPart(4), zerolog.Nop())
+			r.client.Transport = roundTrip(func(*http.Request) (*http.Response, error) {
+				starts[seed] = append(starts[seed], time.Since(begun))
+				watched++
+				return nil, errors.New("down")
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
+			r.Run(ctx, func(*node.List) {})
+			cancel()
+			if watched < 6 || watched > 10 {
+				t.Errorf("%d watches in 40 s", watched)
+			}
+			if r.again != mostAgain*time.Second {
+				t.Errorf("the wait stands at %v", r.again)
+			}
+			if r.take(&node.List{}, 1); r.again != time.Second {
+				t.Errorf("after a list the wait is %v", r.again)
+			}
+		}
+		if starts[0][1] == starts[1][1] {
+			t.Error("two nodes come back in step")
+		}
+	})
+}
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 // Every node puts the same servers in the same order, whatever it heard of first, and an id keeps its number.
 func TestServerIDs(t *testing.T) {
 	one, other := newNames(nil, nil), newNames(nil, nil)
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -52,7 +52,7 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: part.Size(),
 		// Danger: a push written as the server closes its idle connection ends as a reset.
-		IdleConnTimeout:        options.IdleClose * 4 / 5,
+		IdleConnTimeout:        options.IdleClose * 9 / 10,
 		MaxResponseHeaderBytes: node.MostBody,
 	}
 	return &peer{addr: addr, started: started, mail: make(chan *node.Push, options.MostOut), transport: transport,
