A node that had to wait for its core: ops' time from the kernel, answers before time-outs

By reading, for cores that nodes share and processes that are held: an op read late was given more time than its client had, and after a stall time-outs went before answers that stood unread. The kernel's time of the last byte is taken past 10 ms only, as it comes in steps of some milliseconds.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -35,6 +35,7 @@
 	writeWait      = 2 * time.Second  // for an answer, past the client's own wait
 	mostHeader     = 64 << 10
 	longestWait    = time.Hour
+	coarse         = 10 * time.Millisecond // the kernel tells times in steps of some milliseconds
 	statusNack     = http.StatusServiceUnavailable
 	statusDead     = http.StatusBadGateway
 	statusInternal = http.StatusInternalServerError
@@ -81,6 +82,9 @@
 		MaxHeaderBytes:               mostHeader,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     stdlog.New(log.With().Str("from", "net/http").Logger(), "", 0),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.idle.set(c, state == http.StateIdle)
 			if state == http.StateIdle {
@@ -91,6 +95,9 @@
 	return s, nil
 }
 
+// connKey finds a request's connection in its context.
+type connKey struct{}
+
 // Serve answers until Drain has closed the listener.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
@@ -191,8 +198,16 @@
 		}
 		return nil, http.StatusBadRequest, "body is cut short"
 	}
-	// The op's time begins at its last byte.
+	// The op's time begins at its last byte. Danger: a node that had to wait for its core reads it later, and would
+	// answer after the client has gone.
 	now := s.clock.Now()
+	if conn, ok := r.Context().Value(connKey{}).(*sockets.Conn); ok {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			if since := waited(tcp); since > coarse {
+				now -= policy.Micros(min(since, wait) / time.Microsecond)
+			}
+		}
+	}
 	control.SetReadDeadline(time.Time{}) // or it would look as if the client had left
 	control.SetWriteDeadline(time.Now().Add(wait + writeWait))
 	op = node.NewOp()
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// Danger: an op that waited unread, as the node had to wait for its core, has less time left than it says.
+func TestReadLate(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 100, func(op *node.Op) { ops <- op; served(op) })
+	held := make(chan bool)
+	r.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		<-held
+		r.ServeHTTP(w, q)
+	})
+	c := r.dial(t)
+	io.WriteString(c.Conn, request("GET", "/checkout", ""))
+	const late = 200 * time.Millisecond
+	time.Sleep(late)
+	read := r.clock.Now()
+	close(held)
+	c.answer()
+	if left := (<-ops).NotAfter - read; left > policy.Micros((480*time.Millisecond-late).Microseconds()*5/4) {
+		t.Errorf("%d us left", left)
+	}
+}
+
 // Only a nack may tell the client that trying again is harmless.
 func TestVerdicts(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,11 @@
 // of one op or one push, and holds up nothing else.
 const mailbox = 256
 
+const (
+	late = 5 * policy.Millisecond // a timer due for longer says that the process had to wait
+	rest = time.Millisecond       // in which the other goroutines read what has come meanwhile
+)
+
 // Options are the actor's few settings.
 type Options struct {
 	MostOpen int           // ops in hand and not settled
@@ -120,6 +125,12 @@
 		case <-alarm.C:
 		}
 		n.drain()
+		if len(n.timers.heap) > 0 && n.clock.Now()-n.timers.heap[0].at > late {
+			// Danger: after a wait for the core, answers may have come that nobody has read yet; time-outs that
+			// go first would throw them away.
+			time.Sleep(rest)
+			n.drain()
+		}
 		for t := n.timers.due(n.clock.Now()); t != nil; t = n.timers.due(n.clock.Now()) {
 			t.fire()
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -254,6 +254,31 @@
 	}
 }
 
+// Danger: a process that had to wait finds time-outs due and answers unread, both at once; answers go first.
+func TestStall(t *testing.T) {
+	got := play(t, 9, func(in *policy.Input) []policy.Effect {
+		switch {
+		case in.Kind == policy.OpArrived && in.Op == 1:
+			return []policy.Effect{pushFor(300)}
+		case in.Kind == policy.OpArrived:
+			time.Sleep(400 * time.Millisecond)
+		}
+		return nil
+	}, func(r *rig) {
+		op := r.take()
+		go r.take()
+		after(400) // it is read within half a millisecond of the stall's end
+		time.Sleep(rest / 2)
+		r.end(0, policy.Acked)
+		after(1)
+		r.answer(op)
+	})
+	if diff := cmp.Diff([]string{"module: arrived", "module: arrived", "module: ended push 0 acked after 400 ms settled true",
+		"client: acked fine"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A panic of the module promises nothing: everything in hand and all that comes is dead-lettered.
 func TestPanic(t *testing.T) {
 	got := play(t, 9, func(in *policy.Input) []policy.Effect {
