New connections that say nothing give way when sockets run short

By reading: connections that only stand there filled the table for 10 s each, and ops of others waited unread in the backlog. A test with three sockets shows it. One on which bytes have come is left alone: its op may be unread.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -30,9 +30,9 @@
 	labelsHeader    = "X-Labels"
 	tenantLabel     = "org"
 
-	headerWait     = 10 * time.Second // for a request's header, once it has begun
-	idleWait       = 2 * time.Minute  // between two requests
-	writeWait      = 2 * time.Second  // for an answer, past the client's own wait
+	headerWait     = 5 * time.Second // for a request's header, once it has begun
+	idleWait       = 2 * time.Minute // between two requests
+	writeWait      = 2 * time.Second // for an answer, past the client's own wait
 	mostHeader     = 64 << 10
 	longestWait    = time.Hour
 	coarse         = 10 * time.Millisecond // the kernel tells times in steps of some milliseconds
@@ -86,7 +86,7 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
-			s.idle.set(c, state == http.StateIdle)
+			s.idle.set(c, state)
 			if state == http.StateIdle {
 				part.Idle()
 			}
@@ -201,11 +201,9 @@
 	// The op's time begins at its last byte. Danger: a node that had to wait for its core reads it later, and would
 	// answer after the client has gone.
 	now := s.clock.Now()
-	if conn, ok := r.Context().Value(connKey{}).(*sockets.Conn); ok {
-		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
-			if since := waited(tcp); since > coarse {
-				now -= policy.Micros(min(since, wait) / time.Microsecond)
-			}
+	if tcp, ok := tcpOf(r.Context().Value(connKey{})); ok {
+		if since, _ := received(tcp); since > coarse {
+			now -= policy.Micros(min(since, wait) / time.Microsecond)
 		}
 	}
 	control.SetReadDeadline(time.Time{}) // or it would look as if the client had left
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -277,6 +277,25 @@
 	}
 }
 
+// Danger: connections that only stand there could fill the table. They give way; half a request does not.
+func TestSilentConnections(t *testing.T) {
+	r := start(t, 3, served)
+	half := r.dial(t)
+	raw := request("GET", "/checkout", "")
+	io.WriteString(half.Conn, raw[:len(raw)-2])
+	for range 2 {
+		r.dial(t)
+	}
+	for range 2 {
+		if got := r.dial(t).ask(request("GET", "/checkout", "")); got != "200 GET /checkout " {
+			t.Errorf("got %s", got)
+		}
+	}
+	if got := half.ask(raw[len(raw)-2:]); got != "200 GET /checkout " {
+		t.Errorf("the half request: %s", got)
+	}
+}
+
 // A planned restart loses nothing: connections that come meanwhile are served and closed, ops in hand are
 // finished, and then the listener is gone and every socket is back.
 func TestDrain(t *testing.T) {
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,9 +36,11 @@
 }
 
 func (l *listener) Accept() (net.Conn, error) {
-	if l.part.Take(l.ctx) != nil {
-		l.TCPListener.Close()
-		return nil, net.ErrClosed
+	for !l.room() {
+		if l.ctx.Err() != nil {
+			l.TCPListener.Close()
+			return nil, net.ErrClosed
+		}
 	}
 	for {
 		conn, err := l.AcceptTCP()
@@ -60,40 +64,78 @@
 	}
 }
 
+// room takes a socket's room, or gives up after a while: what could not give way before may do so by then.
+func (l *listener) room() bool {
+	ctx, cancel := context.WithTimeout(l.ctx, unused/4)
+	defer cancel()
+	return l.part.Take(ctx) == nil
+}
+
 // drain takes connections for a while yet, then closes.
 func (l *listener) drain() {
 	l.SetDeadline(time.Now().Add(linger))
 	time.AfterFunc(linger+4*quietWindow, l.end) // should it be waiting for a socket
 }
 
-// idlers are the clients' connections between two requests, in the order in which they fell idle.
+// unused is how long a new connection that says nothing is left alone when sockets run short.
+const unused = time.Second
+
+// idlers are the clients' connections between two requests or before the first, in the order in which they fell
+// idle.
 type idlers struct {
 	mu   sync.Mutex
-	list []net.Conn
+	list []idler
+}
+
+type idler struct {
+	conn net.Conn
+	new  time.Time // when it came, if nothing was ever asked on it
 }
 
 // set is told of each change; a connection that is not idle is never in the list.
-func (i *idlers) set(conn net.Conn, idle bool) {
+func (i *idlers) set(conn net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for k, c := range i.list {
-		if c == conn {
-			i.list = append(i.list[:k], i.list[k+1:]...)
-			break
-		}
-	}
-	if idle {
-		i.list = append(i.list, conn)
+	i.list = slices.DeleteFunc(i.list, func(e idler) bool { return e.conn == conn })
+	switch state {
+	case http.StateNew:
+		i.list = append(i.list, idler{conn, time.Now()})
+	case http.StateIdle:
+		i.list = append(i.list, idler{conn: conn})
 	}
 }
 
 // shed closes the connection that has been idle longest. It is closed inside the lock, so that it can't have
-// become a running op's meanwhile.
+// become a running op's meanwhile. Danger: connections that only stand there could fill the table; but on a new
+// one a request may wait unread, and closing it would lose the op.
 func (i *idlers) shed() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if len(i.list) > 0 {
-		i.list[0].Close()
-		i.list = i.list[1:]
+	for k, e := range i.list {
+		if e.new.IsZero() || time.Since(e.new) > unused && silent(e.conn) {
+			e.conn.Close()
+			i.list = slices.Delete(i.list, k, k+1)
+			return
+		}
+	}
+}
+
+// silent says that not a byte has come on a connection, as far as can be told.
+func silent(conn net.Conn) bool {
+	tcp, ok := tcpOf(conn)
+	if !ok {
+		return false
+	}
+	_, nothing := received(tcp)
+	return nothing
+}
+
+// tcpOf finds the connection inside those that the listener gave out.
+func tcpOf(conn any) (*net.TCPConn, bool) {
+	own, ok := conn.(*sockets.Conn)
+	if !ok {
+		return nil, false
 	}
+	tcp, ok := own.Conn.(*net.TCPConn)
+	return tcp, ok
 }
--- /dev/null
+++ b/internal/clients/received_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package clients
+
+import (
+	"net"
+	"time"
+)
+
+// received is not told here: an op's time begins when it is read, and new connections are left alone.
+func received(*net.TCPConn) (since time.Duration, nothing bool) { return 0, false }
