What a status proves does not wait for a body that never comes

By reading: a 503 that was turned away, with a stalled body, ended as a time-out. Also: every header that Connection names stays on its own connection, not only one.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,8 @@
 	}
 }
 
-// drain reads what has already come, a mailbox full at most. An answer in the mailbox goes before a time-out that is due.
+// drain reads what has already come, a mailbox full at most: an answer in the mailbox goes before a time-out that
+// is due.
 func (n *Node) drain() {
 	for range mailbox {
 		select {
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -9,8 +9,10 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
@@ -102,8 +104,10 @@
 // for GET, and no GetBody.
 func (p *peer) request(push *node.Push, way *passage) *http.Request {
 	header := push.Header.Clone()
-	for _, name := range header.Values("Connection") {
-		header.Del(name)
+	for _, names := range header.Values("Connection") {
+		for name := range strings.SplitSeq(names, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
 	}
 	for _, name := range hopByHop {
 		header.Del(name)
@@ -178,8 +182,14 @@
 	return node.Result{Outcome: policy.Reset}
 }
 
-// discard reads the rest of an answer that does not go on, so that its connection can be kept.
+// discardWait is how long the rest of an answer that does not go on is worth to keep its connection.
+const discardWait = 20 * time.Millisecond
+
+// discard reads the rest of an answer that does not go on, so that its connection can be kept. Danger: the rest may
+// never come, and what the status has proved would be told as a time-out.
 func discard(response *http.Response) {
+	enough := time.AfterFunc(discardWait, func() { response.Body.Close() })
+	defer enough.Stop()
 	io.CopyN(io.Discard, response.Body, node.MostBody)
 }
 
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -215,6 +215,26 @@
 	}
 }
 
+// Danger: what the status proves must not wait for a body that never comes.
+func TestStalledBody(t *testing.T) {
+	for status, want := range map[string]policy.Outcome{"503 Service Unavailable": policy.Full,
+		"500 Internal Server Error": policy.Errored} {
+		r := newRig(t, server(t, func(c net.Conn, in *bufio.Reader) {
+			read(in)
+			io.WriteString(c, "HTTP/1.1 "+status+"\r\nX-Turned-Away: 1\r\nContent-Length: 9\r\n\r\nhalf")
+			in.ReadByte()
+		}))
+		begun := time.Now()
+		if got := r.carry(t, push(t.Context(), "POST", "/a", "body")); got != want {
+			t.Errorf("%s: outcome %v", status, got)
+		}
+		if took := time.Since(begun); took > bound/2 {
+			t.Errorf("%s: took %v", status, took)
+		}
+		r.allFree(t)
+	}
+}
+
 // Only a failure before the last byte was written surely has not run.
 func TestNotWritten(t *testing.T) {
 	ctx, body := t.Context(), func(left int) *node.Reader {
@@ -283,7 +303,8 @@
 		push *node.Push
 		want request
 	}{
-		{push(t.Context(), "GET", "/a//b/../%2f%C3%A9?k=1&&x=%zz;", "", "Connection: close", "X-Remaining-Ms: 99999",
+		{push(t.Context(), "GET", "/a//b/../%2f%C3%A9?k=1&&x=%zz;", "", "Connection: keep-alive, X-Mine", "X-Mine: 1",
+			"X-Remaining-Ms: 99999",
 			"Accept-Encoding: br", "Expect: 100-continue"),
 			request{"GET /a//b/../%2f%C3%A9?k=1&&x=%zz; HTTP/1.1\r\nHost: backend.local\r\nAccept-Encoding: br\r\n" +
 				"X-Remaining-Ms: 1500\r\nX-Txn: 9b1f\r\n\r\n", []byte{}}},
