--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -73,12 +73,12 @@
 	if err != nil {
 		return err
 	}
-	pool := servers.New(servers.Options{Dial: span(c.Rules.Push.Dial), IdleClose: c.IdleClose,
+	pool := servers.New(servers.Options{Dial: config.Duration(c.Rules.Push.Dial), IdleClose: c.IdleClose,
 		MostOut: forClients.Size() * c.Rules.Push.Max}, forServers,
 		log.With().Str("part", "servers").Logger(), actor.Ended)
 	options := clients.Options{Categories: c.Names.Categories, Tenants: c.Names.Tenants}
 	for _, category := range c.Rules.Categories {
-		options.Longest = max(options.Longest, span(category.TTL))
+		options.Longest = max(options.Longest, config.Duration(category.TTL))
 	}
 	front, err := clients.Listen(c.Listen, options, forClients, actor, clock,
 		log.With().Str("part", "clients").Logger())
@@ -112,6 +112,3 @@
 		return err
 	}
 }
-
-// span is a time of the module's as the libraries take it.
-func span[T ~int64](micros T) time.Duration { return time.Duration(micros) * time.Microsecond }
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -63,6 +63,17 @@
 	op.Answer(node.Answer{Verdict: node.Acked, Header: http.Header{"Content-Type": {"x/y"}}, Body: body})
 }
 
+// holding answers at once, but for ops of the category browse: those it hands to the test.
+func holding(ops chan<- *node.Op) func(*node.Op) {
+	return func(op *node.Op) {
+		if op.Category == 1 {
+			ops <- op
+			return
+		}
+		served(op)
+	}
+}
+
 func request(method, target, body string, headers ...string) string {
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: backend.local\r\nX-Txn: 9b1f\r\nX-Remaining-Ms: 480\r\n"+
 		"Content-Length: %d\r\n%s\r\n%s", method, target, len(body), strings.Join(append(headers, ""), "\r\n"), body)
@@ -256,13 +267,7 @@
 // connections go first; a running op is never cut.
 func TestSocketsRunShort(t *testing.T) {
 	ops := make(chan *node.Op, 1)
-	r := start(t, 2, func(op *node.Op) {
-		if op.Category == 1 {
-			ops <- op
-			return
-		}
-		served(op)
-	})
+	r := start(t, 2, holding(ops))
 	running := r.dial(t)
 	io.WriteString(running.Conn, request("GET", "/browse", ""))
 	op := <-ops
@@ -300,13 +305,7 @@
 // finished, and then the listener is gone and every socket is back.
 func TestDrain(t *testing.T) {
 	ops := make(chan *node.Op, 1)
-	r := start(t, 8, func(op *node.Op) {
-		if op.Category == 1 {
-			ops <- op
-			return
-		}
-		served(op)
-	})
+	r := start(t, 8, holding(ops))
 	running, kept := r.dial(t), r.dial(t)
 	kept.ask(request("GET", "/checkout", ""))
 	io.WriteString(running.Conn, request("GET", "/browse", ""))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -92,9 +93,9 @@
 		return nil, fmt.Errorf("not JSON: %w", err)
 	}
 	c := &Config{
-		Name:      or(d.Name, getenv("NODE_NAME")),
-		Listen:    or(d.Listen, getenv("NODE_LISTEN")),
-		Discovery: or(d.Discovery, getenv("NODE_DISCOVERY")),
+		Name:      cmp.Or(d.Name, getenv("NODE_NAME")),
+		Listen:    cmp.Or(d.Listen, getenv("NODE_LISTEN")),
+		Discovery: cmp.Or(d.Discovery, getenv("NODE_DISCOVERY")),
 		Known:     d.Known,
 		Cores:     orDefault(d.Limits.Cores, defaultCores),
 		MemoryMB:  orDefault(d.Limits.MemoryMB, defaultMemoryMB),
@@ -123,14 +124,14 @@
 	case len(d.Settings) == 0:
 		return nil, errors.New("key settings is missing")
 	}
-	level, err := zerolog.ParseLevel(or(d.LogLevel, defaultLogLevel))
+	level, err := zerolog.ParseLevel(cmp.Or(d.LogLevel, defaultLogLevel))
 	if err != nil {
 		return nil, fmt.Errorf("key log_level: %w", err)
 	}
 	c.LogLevel = level
 	s := fromJSON(d.Settings)
 	c.Rules = s.rules()
-	c.IdleClose = time.Duration(Micros(s.numberOr("limits.idle_close", 0))) * time.Microsecond
+	c.IdleClose = Duration(Micros(s.numberOr("limits.idle_close", 0)))
 	c.AnswerSlack = Micros(s.numberOr("safety.answer_slack", 0))
 	c.MostOpen = int(s.numberOr("limits.max_open", float64(c.Sockets)))
 	c.Names = Names{Categories: s.names("categories"), Tenants: s.names("tenants"),
@@ -163,13 +164,6 @@
 	}
 }
 
-func or(value, fallback string) string {
-	if value != "" {
-		return value
-	}
-	return fallback
-}
-
 func orDefault[T any](value *T, fallback T) T {
 	if value != nil {
 		return *value
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,31 +74,27 @@
 }
 
 // Arrive hands over an op. Its answer comes in any case.
-func (n *Node) Arrive(op *Op) {
-	n.send(arrived{op}, func() { op.Answer(Answer{Verdict: DeadLettered}) })
-}
+func (n *Node) Arrive(op *Op) { n.send(arrived{op}) }
 
 // Abandon says that the op's client has left. The answer still comes, to be thrown away.
-func (n *Node) Abandon(op *Op) { n.send(left{op}, func() {}) }
+func (n *Node) Abandon(op *Op) { n.send(left{op}) }
 
 // Ended ends a push.
-func (n *Node) Ended(push *Push, result Result) {
-	n.send(ended{push, result, n.clock.Now()}, result.Body.Release)
-}
+func (n *Node) Ended(push *Push, result Result) { n.send(ended{push, result, n.clock.Now()}) }
 
 // Listed hands over what the registry told.
-func (n *Node) Listed(list *List) { n.send(list, func() {}) }
+func (n *Node) Listed(list *List) { n.send(list) }
 
-func (n *Node) send(message any, otherwise func()) {
+func (n *Node) send(message any) {
 	select {
 	case n.mail <- message:
 		select {
 		case <-n.stopped:
-			n.refuse() // it came behind the actor's back
+			n.refuseAll() // it came behind the actor's back
 		default:
 		}
 	case <-n.stopped:
-		otherwise()
+		refuse(message)
 	}
 }
 
@@ -159,32 +155,37 @@
 		}
 		n.settle(op, Answer{Verdict: DeadLettered})
 	}
-	n.refuse()
+	n.refuseAll()
 }
 
-// refuse dead-letters what the mailbox still holds once nobody reads it any more.
-func (n *Node) refuse() {
+// refuseAll refuses what the mailbox still holds once nobody reads it any more.
+func (n *Node) refuseAll() {
 	for {
 		select {
 		case m := <-n.mail:
-			switch m := m.(type) {
-			case arrived:
-				m.op.Answer(Answer{Verdict: DeadLettered})
-			case ended:
-				m.result.Body.Release()
-			}
+			refuse(m)
 		default:
 			return
 		}
 	}
 }
 
+// refuse is all that a message comes to after the actor's end.
+func refuse(m any) {
+	switch m := m.(type) {
+	case arrived:
+		m.op.Answer(Answer{Verdict: DeadLettered})
+	case ended:
+		m.result.Body.Release()
+	}
+}
+
 func (n *Node) receive(m any) {
 	switch m := m.(type) {
 	case arrived:
 		n.arrive(m.op)
 	case left:
-		n.abandon(m.op)
+		n.abandon(m.op, Left)
 	case ended:
 		n.end(m.push, m.result, m.at-m.push.sent)
 	case *List:
@@ -213,19 +214,18 @@
 	// should it ever not.
 	op.overdue = n.timers.set(op.NotAfter+n.options.Slack, func() {
 		n.log.Error().Uint32("op", uint32(op.id)).Msg("op overdue, dead-lettered")
-		n.settle(op, Answer{Verdict: DeadLettered})
-		n.step(&policy.Input{Kind: policy.OpAbandoned, Op: op.id})
-		n.forget(op)
+		n.abandon(op, DeadLettered)
 	})
 	n.step(&policy.Input{Kind: policy.OpArrived, Op: op.id, Category: op.Category, Tenant: op.Tenant,
 		NotAfter: op.NotAfter, Repeated: op.Repeated})
 }
 
-func (n *Node) abandon(op *Op) {
+// abandon settles an op without the module and tells it.
+func (n *Node) abandon(op *Op, verdict Verdict) {
 	if op.settled {
 		return
 	}
-	n.settle(op, Answer{Verdict: Left})
+	n.settle(op, Answer{Verdict: verdict})
 	n.step(&policy.Input{Kind: policy.OpAbandoned, Op: op.id})
 	n.forget(op)
 }
@@ -288,15 +288,16 @@
 // step calls the module, and again for what its effects made, at a clock that never goes back.
 func (n *Node) step(in *policy.Input) {
 	n.now = max(n.now, n.clock.Now())
-	for _, e := range n.module.Step(n.now, in) {
-		n.effect(&e)
-	}
-	for len(n.pending) > 0 {
-		next := n.pending[0]
-		n.pending = n.pending[1:]
-		for _, e := range n.module.Step(n.now, &next) {
+	for {
+		for _, e := range n.module.Step(n.now, in) {
 			n.effect(&e)
 		}
+		if len(n.pending) == 0 {
+			return
+		}
+		next := n.pending[0]
+		n.pending = n.pending[1:]
+		in = &next
 	}
 }
 
@@ -305,15 +306,9 @@
 	case policy.Push:
 		n.push(e)
 	case policy.Nack:
-		if op := n.ops[e.Op]; op != nil {
-			n.settle(op, Answer{Verdict: Nacked, RetryAfter: e.For})
-			n.forget(op)
-		}
+		n.answer(e.Op, Answer{Verdict: Nacked, RetryAfter: e.For})
 	case policy.DeadLetter:
-		if op := n.ops[e.Op]; op != nil {
-			n.settle(op, Answer{Verdict: DeadLettered})
-			n.forget(op)
-		}
+		n.answer(e.Op, Answer{Verdict: DeadLettered})
 	case policy.Cancel:
 		// Its end comes from the server's side, as cancelled unless an answer was already there.
 		if op := n.ops[e.Op]; op != nil && int(e.Push) < len(op.pushes) {
@@ -329,6 +324,14 @@
 	}
 }
 
+// answer carries out the module's answer to an op.
+func (n *Node) answer(id policy.OpID, answer Answer) {
+	if op := n.ops[id]; op != nil {
+		n.settle(op, answer)
+		n.forget(op)
+	}
+}
+
 func (n *Node) push(e *policy.Effect) {
 	op := n.ops[e.Op]
 	if op == nil {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -42,7 +42,7 @@
 	Seed         uint64
 }
 
-// Registry is the actor. Known and Start come first.
+// Registry is the actor. Known comes before Run.
 type Registry struct {
 	options    Options
 	log        zerolog.Logger
@@ -57,7 +57,7 @@
 	rng        *rand.Rand
 }
 
-// New makes the actor; tell takes what the registry says.
+// New makes the actor.
 func New(options Options, part *sockets.Part, log zerolog.Logger) *Registry {
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
 	return &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
@@ -78,7 +78,7 @@
 
 // Known reads the list that the node last had; it may be empty.
 func (r *Registry) Known(raw []byte) (*node.List, error) {
-	if len(bytes.TrimSpace(raw)) == 0 || string(bytes.TrimSpace(raw)) == "null" {
+	if raw = bytes.TrimSpace(raw); len(raw) == 0 || string(raw) == "null" {
 		return &node.List{Form: policy.ListCached}, nil
 	}
 	list, generation, err := r.names.parse(raw)
@@ -98,7 +98,7 @@
 	}
 }
 
-// Run follows the list until ctx is done. Asking while a watch stands ends that one and begins another.
+// Run follows the list until ctx is done, and tells what the registry says. Asking while a watch stands ends that one and begins another.
 func (r *Registry) Run(ctx context.Context, tell func(*node.List)) {
 	r.tell = tell
 	ended := make(chan struct{})
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -29,6 +29,12 @@
 var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length"}
 
+func dropHopByHop(header http.Header) {
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
 // peer is the actor of one server: it owns the transport and so the connections.
 type peer struct {
 	addr      string
@@ -109,9 +115,7 @@
 			header.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
+	dropHopByHop(header)
 	header.Set(remainingHeader, strconv.FormatInt(int64(push.For/policy.Millisecond), 10))
 	if _, told := header["User-Agent"]; !told {
 		header["User-Agent"] = []string{""} // none, rather than the library's
@@ -123,7 +127,6 @@
 		Header:        header,
 		Body:          push.Body,
 		ContentLength: int64(push.Body.Left()),
-		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if request.ContentLength == 0 && (push.Method == http.MethodGet || push.Method == http.MethodHead) {
 		// No length and no chunks: without this the library waits to see whether a body comes.
@@ -165,20 +168,18 @@
 func (w *passage) acked(ctx context.Context, response *http.Response) node.Result {
 	chunked := len(response.TransferEncoding) > 0
 	body, err := node.ReadPayload(response.Body, response.ContentLength)
+	if err == nil && (response.ContentLength >= 0 || chunked) {
+		dropHopByHop(response.Header)
+		response.Header.Del(loadHeader)
+		return node.Result{Outcome: policy.Acked, Header: response.Header, Body: body}
+	}
+	body.Release()
 	switch {
-	case err == nil && (response.ContentLength >= 0 || chunked):
-		header := response.Header
-		for _, name := range append(hopByHop, loadHeader) {
-			header.Del(name)
-		}
-		return node.Result{Outcome: policy.Acked, Header: header, Body: body}
 	case ctx.Err() != nil:
-		body.Release()
 		return node.Result{Outcome: policy.Cancelled}
 	case errors.Is(err, node.ErrTooLong):
 		return node.Result{Outcome: policy.Errored}
 	}
-	body.Release()
 	return node.Result{Outcome: policy.Reset}
 }
 
@@ -224,9 +225,6 @@
 func (s *shedders) add(p *peer) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.peers == nil {
-		s.peers = make(map[*peer]bool)
-	}
 	s.peers[p] = true
 }
 
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -31,7 +31,8 @@
 
 // New makes a pool that ends each push it was given with end, once.
 func New(options Options, part *sockets.Part, log zerolog.Logger, end func(*node.Push, node.Result)) *Pool {
-	p := &Pool{options: options, part: part, log: log, end: end, peers: make(map[policy.ServerID]*peer)}
+	p := &Pool{options: options, part: part, log: log, end: end, peers: make(map[policy.ServerID]*peer),
+		all: shedders{peers: make(map[*peer]bool)}}
 	part.OnShort(p.all.shed)
 	return p
 }
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -80,6 +80,18 @@
 		"\r\n") + body
 }
 
+// always answers every request with body.
+func always(body string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, in *bufio.Reader) {
+		for {
+			if _, _, err := read(in); err != nil {
+				return
+			}
+			io.WriteString(c, answer("200 OK", body))
+		}
+	}
+}
+
 // rig is a pool with one server on its list.
 type rig struct {
 	*Pool
@@ -391,12 +403,7 @@
 			mu.Lock()
 			connections[name]++
 			mu.Unlock()
-			for {
-				if _, _, err := read(in); err != nil {
-					return
-				}
-				io.WriteString(c, answer("200 OK", name))
-			}
+			always(name)(c, in)
 		}
 	}
 	first, second := server(t, serve("first")), server(t, serve("second"))
@@ -463,14 +470,7 @@
 
 // Idle connections go first when sockets run short, also those of other servers.
 func TestShort(t *testing.T) {
-	serve := func(c net.Conn, in *bufio.Reader) {
-		for {
-			if _, _, err := read(in); err != nil {
-				return
-			}
-			io.WriteString(c, answer("200 OK", ""))
-		}
-	}
+	serve := always("")
 	r := newRig(t, server(t, serve))
 	r.carry(t, push(t.Context(), "GET", "/a", ""))
 	for range r.part.Size() - 1 {
