SIGHUP reads the configuration anew and follows the list at its new address

Go's default for SIGHUP ends the process; nothing in cmd/canvasrouter/main.go caught it. Ruled out: a fault of the configuration itself, which the same code reads at a start.

--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -31,6 +31,9 @@
 const lastLines = 200 * time.Millisecond
 
 func main() {
+	// Danger: until it is caught, SIGHUP ends the process. One that comes early waits here.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "canvasrouter:", err)
@@ -40,10 +43,11 @@
 		fmt.Fprintln(os.Stderr, "canvasrouter: log lines lost:", lost)
 	})
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger().Level(c.LogLevel)
+	log := zerolog.New(lines).With().Timestamp().Str("node", c.Name).Logger()
+	zerolog.SetGlobalLevel(c.LogLevel)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.With().Str("from", "library").Logger())
-	err = run(c, log)
+	err = run(c, reload, log)
 	if err != nil {
 		log.Error().Err(err).Msg("node ends")
 	}
@@ -58,7 +62,7 @@
 	}
 }
 
-func run(c *config.Config, log zerolog.Logger) error {
+func run(c *config.Config, reload <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is stacks and what the kernel counts
 
@@ -94,6 +98,12 @@
 	worked := make(chan error, 1)
 	go func() { worked <- actor.Run(working) }()
 	go list.Run(working, actor.Listed)
+	go func() { // until the process ends, also while it drains
+		for running := c; ; {
+			<-reload
+			running = reconfigure(running, list, log)
+		}
+	}()
 	served := make(chan error, 1)
 	go func() { served <- front.Serve() }()
 	log.Info().Str("listen", c.Listen).Int("tier", c.Rules.Place.Tier).Int("servers", len(known.Entries)).
@@ -112,3 +122,26 @@
 		return err
 	}
 }
+
+// reconfigure reads the configuration anew, as at the start, and takes over what can change while the node runs:
+// where the registry is, and the log level. It returns what is in force now. Ops in hand and connections to clients
+// and servers live through it.
+func reconfigure(c *config.Config, list *registry.Registry, log zerolog.Logger) *config.Config {
+	next, err := config.Load(os.Getenv)
+	if err != nil {
+		// Danger: the file may be half written; what runs is better than nothing.
+		log.Error().Err(err).Msg("configuration not taken over, the running one stays")
+		return c
+	}
+	if keys := c.Fixed(next); len(keys) > 0 {
+		log.Warn().Strs("keys", keys).Msg("configuration: these keys change with a restart only")
+	}
+	zerolog.SetGlobalLevel(next.LogLevel)
+	if next.Discovery != c.Discovery {
+		list.Move(next.Discovery)
+	}
+	log.Info().Str("discovery", next.Discovery).Msg("configuration taken over")
+	running := *c
+	running.Discovery, running.LogLevel = next.Discovery, next.LogLevel
+	return &running
+}
--- a/cmd/canvasrouter/main_test.go
+++ b/cmd/canvasrouter/main_test.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // asNode makes the test's own program run as a node.
@@ -30,22 +32,16 @@
 
 type process struct {
 	*exec.Cmd
-	log bytes.Buffer
+	log    bytes.Buffer
+	config string // its file
 }
 
 // start runs the example's configuration, changed, as a process of its own.
 func start(t *testing.T, prepare func(*process), changes ...string) *process {
 	t.Helper()
-	raw, err := os.ReadFile("../../deploy/example.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, []byte(strings.NewReplacer(changes...).Replace(string(raw))), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	p := &process{Cmd: exec.Command(os.Args[0])}
-	p.Env = append(os.Environ(), asNode+"=1", "NODE_CONFIG="+path)
+	p := &process{Cmd: exec.Command(os.Args[0]), config: filepath.Join(t.TempDir(), "config.json")}
+	p.configure(t, changes...)
+	p.Env = append(os.Environ(), asNode+"=1", "NODE_CONFIG="+p.config)
 	p.Stderr = &p.log
 	prepare(p)
 	if err := p.Start(); err != nil {
@@ -56,6 +52,18 @@
 	return p
 }
 
+// configure writes the example's configuration, changed.
+func (p *process) configure(t *testing.T, changes ...string) {
+	t.Helper()
+	raw, err := os.ReadFile("../../deploy/example.json")
+	if err == nil {
+		err = os.WriteFile(p.config, []byte(strings.NewReplacer(changes...).Replace(string(raw))), 0o600)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // free is an address that nobody listens at.
 func free(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -147,6 +155,70 @@
 	}
 }
 
+// SIGHUP takes the configuration over anew while an op is in hand: the list is followed at the new address. A faulty
+// file changes nothing, and what can't change is named.
+func TestReload(t *testing.T) {
+	begun, finish := make(chan bool, 1), make(chan bool)
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- true
+		<-finish
+	}))
+	defer stand.Close()
+	watched := make(chan string, 8)
+	discovery := func(name string) string {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			watched <- name + " " + r.URL.RequestURI()
+			fmt.Fprintln(w, `{"generation":2,"reset":false,"instances":[]}`)
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(s.CloseClientConnections)
+		return strings.TrimPrefix(s.URL, "http://")
+	}
+	addr := free(t)
+	changes := []string{"127.0.0.1:8081", addr, "127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://")}
+	at := func(registry string, more ...string) []string {
+		return append(append([]string{"127.0.0.1:8500", registry}, changes...), more...)
+	}
+	p := start(t, func(*process) {}, at(discovery("old"))...)
+	awaitReady(t, addr)
+	got := []string{<-watched}
+	var slow sync.WaitGroup
+	slow.Go(func() {
+		if got := ask(addr, "/checkout"); got != "200 " {
+			t.Errorf("the op in hand: %s", got)
+		}
+	})
+	<-begun
+	p.configure(t, at(discovery("new"), `"tick": 5.0`, `"tick": 6.0`)...)
+	p.Process.Signal(syscall.SIGHUP)
+	got = append(got, <-watched)
+	if err := os.WriteFile(p.config, []byte(`{"name": "n0", "lis`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond) // signals of one kind that wait are one
+	p.configure(t, at(discovery("last"))...)
+	p.Process.Signal(syscall.SIGHUP)
+	got = append(got, <-watched)
+	close(finish)
+	slow.Wait()
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v, log %s", err, p.log.String())
+	}
+	want := []string{"old /api/targets?watch=1&from=1", "new /api/targets?watch=1&from=2", "last /api/targets?watch=1&from=2"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	for _, line := range []string{`"keys":["settings"]`, "not taken over"} {
+		if strings.Count(p.log.String(), line) != 1 {
+			t.Errorf("%s: not once in %s", line, p.log.String())
+		}
+	}
+}
+
 // Danger: a log that nobody reads fills its pipe; no op and no exit may wait for it.
 func TestBlockedLog(t *testing.T) {
 	addr := free(t)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -42,6 +43,34 @@
 	MostOpen    int           // ops in hand that the settings allow
 	AnswerSlack policy.Micros // past a client's wait, in which a final answer still counts
 	IdleClose   time.Duration // a server closes a connection that was idle for this long
+
+	settings json.RawMessage
+}
+
+// Fixed names the keys that differ in next and can't change while the node runs. Discovery and log_level can;
+// known is only read at the start, since the node itself holds a newer list.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", c.Name == next.Name},
+		{"listen", c.Listen == next.Listen},
+		{"seed", c.Seed == next.Seed},
+		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"settings", sameJSON(c.settings, next.settings)},
+	} {
+		if !k.same {
+			keys = append(keys, k.key)
+		}
+	}
+	return keys
+}
+
+// sameJSON compares values, whatever their spacing and the order of their keys.
+func sameJSON(a, b json.RawMessage) bool {
+	var one, other any
+	return json.Unmarshal(a, &one) == nil && json.Unmarshal(b, &other) == nil && reflect.DeepEqual(one, other)
 }
 
 // Names are the words of the settings, by the number that the module knows them by.
@@ -97,6 +126,7 @@
 		Listen:    cmp.Or(d.Listen, getenv("NODE_LISTEN")),
 		Discovery: cmp.Or(d.Discovery, getenv("NODE_DISCOVERY")),
 		Known:     d.Known,
+		settings:  d.Settings,
 		Cores:     orDefault(d.Limits.Cores, defaultCores),
 		MemoryMB:  orDefault(d.Limits.MemoryMB, defaultMemoryMB),
 		Sockets:   orDefault(d.Limits.Sockets, defaultSockets),
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -52,6 +52,7 @@
 	silence    time.Duration
 	client     *http.Client
 	asked      chan struct{} // holds one: asking twice is asking once
+	moved      chan string   // holds one: where the registry is now
 	tell       func(*node.List)
 	again      time.Duration // present wait where changes come unasked
 	rng        *rand.Rand
@@ -61,7 +62,7 @@
 func New(options Options, part *sockets.Part, log zerolog.Logger) *Registry {
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
 	return &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
-		asked: make(chan struct{}, 1), silence: mostSilence,
+		asked: make(chan struct{}, 1), moved: make(chan string, 1), silence: mostSilence,
 		again: options.Again, rng: rand.New(rand.NewSource(int64(options.Seed))),
 		client: &http.Client{
 			Transport: &http.Transport{
@@ -98,7 +99,18 @@
 	}
 }
 
-// Run follows the list until ctx is done, and tells what the registry says. Asking while a watch stands ends that one and begins another.
+// Move says that the registry is at another address from now on. It does not wait; only one goroutine calls it.
+func (r *Registry) Move(addr string) {
+	select {
+	case <-r.moved: // an older one that nobody has taken yet
+	default:
+	}
+	r.moved <- addr
+}
+
+// Run follows the list until ctx is done, and tells what the registry says. Asking while a watch stands ends that
+// one and begins another, and so does a move: the new address is asked at once, from the generation held, and the
+// end of the watch at the old one is no failure.
 func (r *Registry) Run(ctx context.Context, tell func(*node.List)) {
 	r.tell = tell
 	ended := make(chan struct{})
@@ -114,9 +126,14 @@
 			<-ended
 			return
 		case <-r.asked:
+			cancel()
+			<-ended
+		case addr := <-r.moved:
+			cancel()
+			<-ended
+			r.options.Addr, r.again = addr, r.options.Again
+			r.log.Info().Str("addr", addr).Msg("registry moved")
 		}
-		cancel()
-		<-ended
 		var watching context.Context
 		watching, cancel = context.WithCancel(ctx)
 		ended = make(chan struct{})
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -134,6 +134,48 @@
 	}
 }
 
+// A move ends the watch at the old address, which is no failure, and goes on at the new one from the generation held;
+// while that one is down, the module hears of it and asks again there. Of several moves the last counts.
+func TestMove(t *testing.T) {
+	asked, told := make(chan string, 8), make(chan *node.List, 8)
+	stand := func(name string, lines ...string) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked <- name + " " + r.URL.RequestURI()
+			for _, l := range lines {
+				fmt.Fprintln(w, l)
+			}
+			w.(http.Flusher).Flush()
+			<-r.Context().Done()
+		}))
+	}
+	first, second := stand("first", line(42, true)), stand("second", line(43, false))
+	defer first.Close()
+	defer second.Close()
+	down := httptest.NewServer(nil)
+	down.Close()
+	addr := func(s *httptest.Server) string { return strings.TrimPrefix(s.URL, "http://") }
+	r := New(Options{Addr: "127.0.0.1:1"}, sockets.NewPart(4), zerolog.Nop())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	ended := make(chan struct{})
+	r.Move(addr(down))
+	r.Move(addr(first))
+	go func() { r.Run(ctx, func(l *node.List) { told <- l }); close(ended) }()
+	got := []string{<-asked, describe(<-told)}
+	r.Move(addr(down))
+	got = append(got, describe(<-told))
+	r.Watch()
+	got = append(got, describe(<-told))
+	r.Move(addr(second))
+	got = append(got, <-asked, describe(<-told))
+	cancel()
+	<-ended
+	if diff := cmp.Diff([]string{"first /api/targets?watch=1", "whole", "failed", "failed",
+		"second /api/targets?watch=1&from=42", "changes"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Where changes come unasked, the actor begins a watch again by itself.
 func TestUnasked(t *testing.T) {
 	watches := make(chan string, 8)
