Bytes behind an answer reach no other push, and what is no answer ends its push at once

Seen: in TestBytesBehind pushes were served another's answer, and good answers without a body were lost while idle connections were shed ('CloseIdleConnections called'). http.Transport looks for bytes behind an answer only once the connection is idle, and counts it as idle before an empty answer is handed on (newPeer, shedders.shed). A spoilt answer held its push until its time-out, or as a Reset kept its server out of the rotation (passage.failure). A stale answer that arrives after the next push was written can't be told; 2 ms of rest stand against it.

--- a/internal/node/payload.go
+++ b/internal/node/payload.go
@@ -79,6 +79,9 @@
 	return n, nil
 }
 
+// Again is another reading of the same payload, from its start. The reader must not be closed yet.
+func (r *Reader) Again() *Reader { return r.payload.Reader() }
+
 // Left is how many bytes nobody has read yet.
 func (r *Reader) Left() int { return int(r.left.Load()) }
 
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -42,29 +42,30 @@
 	mail      chan *node.Push
 	transport *http.Transport
 	part      *sockets.Part
+	kept      *keep
 	end       func(*node.Push, node.Result)
 }
 
-func newPeer(addr string, started policy.Micros, options Options, part *sockets.Part,
+func newPeer(addr string, started policy.Micros, options Options, part *sockets.Part, kept *keep,
 	end func(*node.Push, node.Result)) *peer {
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: options.Dial}, Part: part}
-	transport := &http.Transport{
+	p := &peer{addr: addr, started: started, mail: make(chan *node.Push, options.MostOut), part: part, kept: kept, end: end}
+	p.transport = &http.Transport{
 		Proxy: nil, // none from the environment either
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			opened, err := dialer.Dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: opened}, nil
+			return kept.add(&conn{Conn: opened, of: p, in: kept, stall: stallDials * options.Dial}), nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: part.Size(),
 		// Danger: a push written as the server closes its idle connection ends as a reset.
 		IdleConnTimeout:        options.IdleClose * 9 / 10,
-		MaxResponseHeaderBytes: node.MostBody,
+		MaxResponseHeaderBytes: mostHead,
 	}
-	return &peer{addr: addr, started: started, mail: make(chan *node.Push, options.MostOut), transport: transport,
-		part: part, end: end}
+	return p
 }
 
 // run carries each push in a goroutine of its own, until the mailbox is closed and the last push has ended.
@@ -76,17 +77,29 @@
 			p.end(push, result)
 		})
 	}
-	p.transport.CloseIdleConnections() // at once: no new push comes
+	p.kept.closeIdle(p) // at once: no new push comes
 	out.Wait()
 	p.transport.CloseIdleConnections()
 }
 
 // carry sends a push and reads its answer whole.
+//
+// Danger: a kept connection may have ended, or have brought what belongs to no push, since it was last used. Nothing
+// of the push was written on it then, so the push still waits for a connection and takes another; each one passed over
+// is closed, and a new one is not passed over.
 func (p *peer) carry(push *node.Push) node.Result {
 	defer push.Body.Close()
-	way := &passage{body: push.Body}
-	request := p.request(push, way)
-	response, err := p.transport.RoundTrip(request)
+	for {
+		way := &passage{body: push.Body.Again()}
+		result := p.attempt(push, way)
+		if !way.passedOver() || push.Context.Err() != nil {
+			return result
+		}
+	}
+}
+
+func (p *peer) attempt(push *node.Push, way *passage) node.Result {
+	response, err := p.transport.RoundTrip(p.request(push, way))
 	if err != nil {
 		return node.Result{Outcome: way.failure(push.Context)}
 	}
@@ -125,15 +138,15 @@
 		URL:           &url.URL{Scheme: "http", Host: p.addr, Opaque: push.Target},
 		Host:          push.Host,
 		Header:        header,
-		Body:          push.Body,
-		ContentLength: int64(push.Body.Left()),
+		Body:          way.body,
+		ContentLength: int64(way.body.Left()),
 	}
 	if request.ContentLength == 0 && (push.Method == http.MethodGet || push.Method == http.MethodHead) {
 		// No length and no chunks: without this the library waits to see whether a body comes.
 		request.TransferEncoding = []string{"identity"}
 	}
 	return request.WithContext(httptrace.WithClientTrace(push.Context, &httptrace.ClientTrace{
-		GotConn:     func(info httptrace.GotConnInfo) { way.begin(info.Conn) },
+		GotConn:     func(info httptrace.GotConnInfo) { way.begin(info) },
 		PutIdleConn: func(error) { p.part.Idle() },
 	}))
 }
@@ -141,18 +154,28 @@
 // passage tells how far a push got on its connection.
 type passage struct {
 	body *node.Reader
+	kept atomic.Bool // the connection has carried others before
 	conn atomic.Pointer[conn]
 }
 
-func (w *passage) begin(c net.Conn) {
-	if own, ok := c.(*conn); ok {
-		own.wrote.Store(nothing)
+func (w *passage) begin(info httptrace.GotConnInfo) {
+	if own, ok := info.Conn.(*conn); ok {
+		own.begin()
+		w.kept.Store(info.Reused)
 		w.conn.Store(own)
 	}
 }
 
-// failure is the outcome of a push with no answer. It has surely not run only if its last byte was surely not
-// written: no connection, nothing written on it, a last write that was cut short, or body left to read.
+// passedOver says that nothing of the push was written on a kept connection, or on one that was shed just then.
+func (w *passage) passedOver() bool {
+	c := w.conn.Load()
+	return c != nil && c.wrote.Load() == nothing && (w.kept.Load() || c.dropped())
+}
+
+// failure is the outcome of a push without an answer that can be passed on. It has surely not run only if its last
+// byte was surely not written: no connection, nothing written on it, a last write that was cut short, or body left to
+// read. A server that answers with what can't be read has had the push and is there: that is an error of its own, and
+// not the break of a connection.
 func (w *passage) failure(ctx context.Context) policy.Outcome {
 	c := w.conn.Load()
 	switch {
@@ -160,6 +183,8 @@
 		return policy.Cancelled
 	case c == nil || c.wrote.Load() != whole || w.body.Left() > 0:
 		return policy.ConnectFailed
+	case c.spoilt():
+		return policy.Errored
 	}
 	return policy.Reset
 }
@@ -167,6 +192,9 @@
 // acked reads a 200 answer. One that ends early, or does not say where it ends, can't be told from a broken one.
 func (w *passage) acked(ctx context.Context, response *http.Response) node.Result {
 	chunked := len(response.TransferEncoding) > 0
+	if response.ContentLength > node.MostBody { // it may say 3 GB, and keep coming
+		return node.Result{Outcome: policy.Errored}
+	}
 	body, err := node.ReadPayload(response.Body, response.ContentLength)
 	if err == nil && (response.ContentLength >= 0 || chunked) {
 		dropHopByHop(response.Header)
@@ -174,13 +202,10 @@
 		return node.Result{Outcome: policy.Acked, Header: response.Header, Body: body}
 	}
 	body.Release()
-	switch {
-	case ctx.Err() != nil:
-		return node.Result{Outcome: policy.Cancelled}
-	case errors.Is(err, node.ErrTooLong):
+	if errors.Is(err, node.ErrTooLong) {
 		return node.Result{Outcome: policy.Errored}
 	}
-	return node.Result{Outcome: policy.Reset}
+	return node.Result{Outcome: w.failure(ctx)}
 }
 
 // discardWait is how long the rest of an answer that does not go on is worth to keep its connection.
@@ -193,51 +218,3 @@
 	defer enough.Stop()
 	io.CopyN(io.Discard, response.Body, node.MostBody)
 }
-
-// What the last write on a connection came to, since its push began.
-const (
-	nothing int32 = iota
-	short         // it failed before its end
-	whole         // it was taken to the end, or is under way
-)
-
-// conn remembers how its writes went. The transport has one request at a time on it.
-type conn struct {
-	*sockets.Conn
-	wrote atomic.Int32
-}
-
-func (c *conn) Write(b []byte) (int, error) {
-	c.wrote.Store(whole)
-	n, err := c.Conn.Write(b)
-	if n < len(b) {
-		c.wrote.Store(short)
-	}
-	return n, err
-}
-
-// shedders are the peers whose idle connections can be closed when sockets run short.
-type shedders struct {
-	mu    sync.Mutex
-	peers map[*peer]bool
-}
-
-func (s *shedders) add(p *peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.peers[p] = true
-}
-
-func (s *shedders) remove(p *peer) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.peers, p)
-}
-
-func (s *shedders) shed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for p := range s.peers {
-		p.transport.CloseIdleConnections()
-	}
-}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -26,14 +26,14 @@
 	log     zerolog.Logger
 	end     func(*node.Push, node.Result)
 	peers   map[policy.ServerID]*peer
-	all     shedders
+	kept    *keep
 }
 
 // New makes a pool that ends each push it was given with end, once.
 func New(options Options, part *sockets.Part, log zerolog.Logger, end func(*node.Push, node.Result)) *Pool {
 	p := &Pool{options: options, part: part, log: log, end: end, peers: make(map[policy.ServerID]*peer),
-		all: shedders{peers: make(map[*peer]bool)}}
-	part.OnShort(p.all.shed)
+		kept: &keep{part: part, conns: make(map[*conn]bool)}}
+	part.OnShort(p.kept.shed)
 	return p
 }
 
@@ -88,12 +88,8 @@
 }
 
 func (p *Pool) start(addr string, started policy.Micros) *peer {
-	peer := newPeer(addr, started, p.options, p.part, p.end)
-	p.all.add(peer)
-	go func() {
-		peer.run()
-		p.all.remove(peer)
-	}()
+	peer := newPeer(addr, started, p.options, p.part, p.kept, p.end)
+	go peer.run()
 	return peer
 }
 
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -9,8 +9,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -103,7 +105,7 @@
 	t.Helper()
 	part := sockets.NewPart(18)
 	r := &rig{part: part, ended: make(chan node.Result, 64)}
-	r.Pool = New(Options{Dial: 200 * time.Millisecond, IdleClose: 5 * time.Second, MostOut: 8}, part, zerolog.Nop(),
+	r.Pool = New(Options{Dial: 200 * time.Millisecond, IdleClose: 5 * time.Second, MostOut: 32}, part, zerolog.Nop(),
 		func(_ *node.Push, result node.Result) { r.ended <- result })
 	r.list(policy.Ready, addr, 0)
 	t.Cleanup(func() { r.Follow(&node.List{Form: policy.ListWhole}) })
@@ -202,7 +204,7 @@
 		"an end that could be a break":    {"HTTP/1.1 200 OK\r\n\r\nfine", policy.Reset},
 		"half a header":                   {"HTTP/1.1 200 OK\r\nContent-", policy.Reset},
 		"no answer":                       {"", policy.Reset},
-		"nonsense":                        {"\x00\x01\x02\r\n\r\n", policy.Reset},
+		"nonsense":                        {"\x00\x01\x02\r\n\r\n", policy.Errored},
 		"too long":                        {answer("200 OK", long), policy.Errored},
 		"error":                           {answer("500 Internal Server Error", ""), policy.Errored},
 		"turned away":                     {answer("503 Service Unavailable", "", "X-Turned-Away: 1"), policy.Full},
@@ -227,6 +229,162 @@
 	}
 }
 
+// Danger: an answer that can't be read, from a server that keeps its connection open, would hold its push for all the
+// time it has. It is an error that may have run, told soon; the connection is of no further use, and memory is bounded.
+func TestSpoilt(t *testing.T) {
+	for name, c := range map[string]struct{ answer, forever string }{
+		"noise":                   {answer: "\x00\x01\x02\x03"},
+		"noise with lines":        {answer: "one\r\ntwo\r\n\r\n"},
+		"no status":               {answer: "HTTP/1.1 fine\r\n\r\n"},
+		"half a head":             {answer: "HTTP/1.1 200 OK\r\nContent-"},
+		"a head without end":      {answer: "HTTP/1.1 200 OK\r\n", forever: "X-Odd: x\r\n"},
+		"a header without a name": {answer: "HTTP/1.1 200 OK\r\n: x\r\nContent-Length: 0\r\n\r\n"},
+		"less than it says":       {answer: strings.TrimSuffix(answer("200 OK", "fine"), "e")},
+		"less than no length":     {answer: "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfine"},
+		"two lengths":             {answer: answer("200 OK", "fine", "Content-Length: 3")},
+		"a length and chunks":     {answer: answer("200 OK", "4\r\nfine\r\n0\r\n\r\n", "Transfer-Encoding: chunked")},
+		"broken chunks":           {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfine\r\n"},
+		"half a chunk":            {answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfi"},
+		"3 GB":                    {answer: "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n", forever: "xxxxxxxx"},
+		"another protocol":        {answer: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, server(t, func(out net.Conn, in *bufio.Reader) {
+				if _, _, err := read(in); err != nil {
+					return
+				}
+				_, err := io.WriteString(out, c.answer)
+				for c.forever != "" && err == nil {
+					_, err = io.WriteString(out, strings.Repeat(c.forever, 64))
+				}
+				in.ReadByte()
+			}))
+			begun := time.Now()
+			if got := r.carry(t, push(t.Context(), "POST", "/a", "body")); got != policy.Errored {
+				t.Errorf("outcome %v", got)
+			}
+			if took := time.Since(begun); took > 4*stallDials*r.options.Dial {
+				t.Errorf("took %v", took)
+			}
+			r.allFree(t)
+		})
+	}
+}
+
+// Danger: bytes behind an answer would be read as the next push's. Each push gets its own answer, whatever else comes
+// with it, also while others wait for the connection, and none is told as failed for it.
+func TestBytesBehind(t *testing.T) {
+	const another = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nanother's"
+	for name, c := range map[string]struct {
+		with, after string // the answer's own bytes
+		pause       time.Duration
+		together    int // pushes, more than there are sockets or one
+		empty       bool
+	}{
+		"an answer":               {with: another, together: 24},
+		"an answer, empty":        {with: another, together: 24, empty: true},
+		"noise":                   {with: "\x00\x01", together: 24},
+		"noise, empty":            {with: "\x00\x01", together: 24, empty: true},
+		"right behind":            {after: another, together: 24},
+		"on an idle one":          {after: another, pause: 2 * time.Millisecond, together: 1},
+		"on an idle one, empty":   {after: another, pause: 2 * time.Millisecond, together: 1, empty: true},
+		"half of it on idle ones": {after: another[:20], pause: 2 * time.Millisecond, together: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, server(t, func(out net.Conn, in *bufio.Reader) {
+				for n := 0; ; n++ {
+					head, _, err := read(in)
+					if err != nil {
+						return
+					}
+					target := strings.Fields(head)[1]
+					if c.empty {
+						target = ""
+					}
+					if n%2 == 0 {
+						io.WriteString(out, answer("200 OK", target))
+						continue
+					}
+					io.WriteString(out, answer("200 OK", target)+c.with)
+					time.Sleep(c.pause)
+					io.WriteString(out, c.after)
+				}
+			}))
+			for i := range 120 / c.together {
+				waits := map[string]int{}
+				for k := range c.together {
+					target := fmt.Sprintf("/%d/%d", i, k)
+					r.Push(push(t.Context(), "GET", target, ""))
+					if c.empty {
+						target = ""
+					}
+					waits[target]++
+				}
+				for range c.together {
+					result := r.result(t)
+					if result.Outcome != policy.Acked {
+						t.Fatalf("outcome %v", result.Outcome)
+					}
+					waits[string(result.Body.Bytes())]--
+					result.Body.Release()
+				}
+				for target, n := range waits {
+					if n != 0 {
+						t.Fatalf("%d answers of %q are missing", n, target)
+					}
+				}
+				time.Sleep(5 * c.pause)
+			}
+		})
+	}
+}
+
+// Danger: a server that closes a kept connection just then would look as if it had failed with the op in hand. What has
+// not been written goes by another connection, once.
+func TestEndedMeanwhile(t *testing.T) {
+	var requests atomic.Int32
+	r := newRig(t, server(t, func(c net.Conn, in *bufio.Reader) {
+		if _, _, err := read(in); err == nil {
+			requests.Add(1)
+			io.WriteString(c, answer("200 OK", "fine"))
+		}
+	}))
+	for range 50 {
+		if got := r.carry(t, push(t.Context(), "GET", "/a", "")); got != policy.Acked {
+			t.Fatalf("outcome %v", got)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if got := requests.Load(); got != 50 {
+		t.Errorf("the server saw %d requests of 50 pushes", got)
+	}
+}
+
+// Interim answers ahead, and a pause behind them, change nothing; the connection is kept.
+func TestInterim(t *testing.T) {
+	var connections atomic.Int32
+	r := newRig(t, server(t, func(c net.Conn, in *bufio.Reader) {
+		connections.Add(1)
+		for {
+			if _, _, err := read(in); err != nil {
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n")
+			time.Sleep(2 * stallDials * 200 * time.Millisecond)
+			io.WriteString(c, answer("200 OK", "fine", "X-Pressure: NaN inf {"))
+		}
+	}))
+	for range 2 {
+		if got := r.carry(t, push(t.Context(), "GET", "/a", "")); got != policy.Acked {
+			t.Errorf("outcome %v", got)
+		}
+	}
+	if got := connections.Load(); got != 1 {
+		t.Errorf("%d connections", got)
+	}
+}
+
 // Danger: what the status proves must not wait for a body that never comes.
 func TestStalledBody(t *testing.T) {
 	for status, want := range map[string]policy.Outcome{"503 Service Unavailable": policy.Full,
@@ -261,7 +419,7 @@
 	unconnected := &passage{body: body(4)}
 	got["no connection"] = unconnected.failure(ctx)
 	w := &passage{body: body(0)}
-	w.begin(c)
+	w.begin(httptrace.GotConnInfo{Conn: c})
 	got["nothing written"] = w.failure(ctx)
 	go io.ReadFull(far, make([]byte, 7))
 	c.Write([]byte("request"))
@@ -274,7 +432,7 @@
 	c.Write([]byte("request"))
 	got["cut short"] = w.failure(ctx)
 	again := &passage{body: body(0)}
-	again.begin(c)
+	again.begin(httptrace.GotConnInfo{Conn: c})
 	got["the next push on it"] = again.failure(ctx)
 	given, giveUp := context.WithCancel(ctx)
 	giveUp()
@@ -470,13 +628,13 @@
 
 // Idle connections go first when sockets run short, also those of other servers.
 func TestShort(t *testing.T) {
-	serve := always("")
-	r := newRig(t, server(t, serve))
+	first, second := server(t, always("")), server(t, always(""))
+	r := newRig(t, first)
 	r.carry(t, push(t.Context(), "GET", "/a", ""))
 	for range r.part.Size() - 1 {
 		r.part.Take(t.Context())
 	}
-	r.Follow(&node.List{Form: policy.ListChanges, Addrs: []string{server(t, serve)}, Entries: []policy.Entry{{Server: 2}}})
+	r.Follow(&node.List{Form: policy.ListChanges, Addrs: []string{second}, Entries: []policy.Entry{{Server: 2}}})
 	p := push(t.Context(), "GET", "/a", "")
 	p.Server = 2
 	if got := r.carry(t, p); got != policy.Acked {
--- /dev/null
+++ b/internal/servers/stirred_other.go
@@ -0,0 +1,8 @@
+//go:build !unix
+
+package servers
+
+import "net"
+
+// stirred can't be told here.
+func stirred(net.Conn) bool { return false }
