Numbers of servers that left are given back; bad requests are logged a line a second

Found by reading: names.server kept each text id and number for the life of the process, and names.index wrapped at 256 words. A server's number is a hash of its id, so it is the same should it return. Bounds for thousands of replacements are tested in registry and servers.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -64,6 +64,7 @@
 	actor    Actor
 	clock    *node.Clock
 	log      zerolog.Logger
+	sampled  zerolog.Logger // for what bad clients cause
 	http     *http.Server
 	listener *listener
 	idle     idlers
@@ -79,8 +80,8 @@
 		return nil, err
 	}
 	// Danger: bad clients come at full speed, and a line for each would cost more than they do.
-	log = log.Sample(&zerolog.BurstSampler{Burst: 1, Period: complainEvery})
-	s := &Server{options: options, actor: actor, clock: clock, log: log,
+	sampled := log.Sample(&zerolog.BurstSampler{Burst: 1, Period: complainEvery})
+	s := &Server{options: options, actor: actor, clock: clock, log: log, sampled: sampled,
 		listener: newListener(l.(*net.TCPListener), part)}
 	part.OnShort(s.idle.shed)
 	s.http = &http.Server{
@@ -89,7 +90,7 @@
 		IdleTimeout:                  idleWait,
 		MaxHeaderBytes:               mostHeader,
 		DisableGeneralOptionsHandler: true,
-		ErrorLog:                     stdlog.New(log.With().Str("from", "net/http").Logger(), "", 0),
+		ErrorLog:                     stdlog.New(sampled.With().Str("from", "net/http").Logger(), "", 0),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -161,7 +162,7 @@
 	if op == nil {
 		// Danger: behind what can't be used stands more of the same, or a request hidden in it. The connection
 		// closes; what still comes is read for a while, or a reset would wipe out the answer.
-		s.log.Warn().Int("status", status).Str("reason", reason).Msg("bad request")
+		s.sampled.Warn().Int("status", status).Str("reason", reason).Msg("bad request")
 		control.SetReadDeadline(time.Now().Add(leastWait))
 		w.Header().Set("Connection", "close")
 		http.Error(w, reason, status)
--- a/internal/registry/list.go
+++ b/internal/registry/list.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"hash/fnv"
+	"math"
 	"net"
 	"slices"
 
@@ -31,7 +32,8 @@
 
 var lifecycles = map[string]policy.ServerState{"active": policy.Ready, "leaving": policy.Draining, "left": policy.Gone}
 
-// names gives words their numbers, for the life of the process.
+// names gives words their numbers: a server keeps its number while it is on the list, and since that is a hash of its
+// id, it has the same one when it comes back. Zones and kinds keep theirs for the life of the process.
 type names struct {
 	servers      map[string]policy.ServerID
 	taken        map[policy.ServerID]bool
@@ -59,12 +61,22 @@
 	return number
 }
 
+// forget gives a number back. Danger: ids are ever new on long days, and a number kept for each would fill the memory.
+func (n *names) forget(id string) {
+	delete(n.taken, n.servers[id])
+	delete(n.servers, id)
+}
+
+// index numbers a word; those past the last number share it.
 func index(list *[]string, word string) uint8 {
 	at := slices.Index(*list, word)
-	if at < 0 {
+	if at < 0 && len(*list) <= math.MaxUint8 {
 		at = len(*list)
 		*list = append(*list, word)
 	}
+	if at < 0 {
+		return math.MaxUint8
+	}
 	return uint8(at)
 }
 
@@ -78,6 +90,7 @@
 	if d.Reset {
 		list.Form = policy.ListWhole
 	}
+	listed := make(map[string]bool, len(d.Instances))
 	for _, i := range d.Instances {
 		state, known := lifecycles[i.Lifecycle]
 		if !known {
@@ -94,6 +107,12 @@
 			Cell: policy.CellID(i.Cell), Kind: policy.KindID(index(&n.kinds, i.Kind)),
 			Zone: policy.ZoneID(index(&n.zones, i.Zone)), State: state})
 		list.Addrs = append(list.Addrs, i.Addr)
+		listed[i.ID] = state != policy.Gone
+	}
+	for id := range n.servers {
+		if still, told := listed[id]; told && !still || !told && d.Reset {
+			n.forget(id)
+		}
 	}
 	return list, d.Generation, nil
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -252,6 +252,39 @@
 	}
 }
 
+// Danger: on long days ids are ever new. What has left gives its number back, whether told as left or missing from a
+// whole list, and has the same one should it return; words in excess don't take another's number.
+func TestReplacements(t *testing.T) {
+	n := newNames(nil, nil)
+	id := func(i int) string { return fmt.Sprintf("s-%d", i) }
+	parse := func(reset bool, entries ...string) *node.List {
+		l, _, err := n.parse([]byte(line(1, reset, entries...)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	first := parse(true, entry(id(0), "active", "127.0.0.1:1", 0)).Entries[0].Server
+	for i := range 5000 {
+		parse(false, entry(id(i+1), "active", "127.0.0.1:1", i), entry(id(i), "left", "", 0))
+	}
+	for i := range 5000 {
+		parse(true, entry(id(i), "active", "127.0.0.1:1", i))
+	}
+	if len(n.servers) != 1 || len(n.taken) != 1 {
+		t.Errorf("%d ids and %d numbers are kept for one server", len(n.servers), len(n.taken))
+	}
+	if again := parse(false, entry(id(0), "active", "127.0.0.1:1", 9)).Entries[0].Server; again != first {
+		t.Errorf("back as %x, was %x", again, first)
+	}
+	var words []string
+	for i := range 1000 {
+		if at := index(&words, id(i)); int(at) != min(i, 255) {
+			t.Fatalf("word %d is number %d", i, at)
+		}
+	}
+}
+
 func TestLineWithoutEnd(t *testing.T) {
 	endless := bufio.NewReader(strings.NewReader(strings.Repeat("x", longest+8192)))
 	if _, err := readLine(endless); err == nil || !strings.Contains(err.Error(), "too long") {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -657,3 +658,32 @@
 		}
 	}
 }
+
+// Danger: servers are ever new on long days. One that left gives back its actor and all its connections, also where its
+// successor has its address.
+func TestReplacements(t *testing.T) {
+	r := newRig(t, server(t, always("fine")))
+	addr, before := r.peers[1].addr, runtime.NumGoroutine()
+	for i := range 400 {
+		r.Follow(&node.List{Form: policy.ListChanges, Addrs: []string{"", addr}, Entries: []policy.Entry{
+			{Server: policy.ServerID(i + 1), State: policy.Gone}, {Server: policy.ServerID(i + 2)}}})
+		p := push(t.Context(), "GET", "/a", "")
+		p.Server = policy.ServerID(i + 2)
+		if got := r.carry(t, p); got != policy.Acked {
+			t.Fatalf("outcome %v", got)
+		}
+	}
+	kept := func() int {
+		r.kept.mu.Lock()
+		defer r.kept.mu.Unlock()
+		return len(r.kept.conns)
+	}
+	for begun := time.Now(); kept() > 1 || runtime.NumGoroutine() > before+20; time.Sleep(10 * time.Millisecond) {
+		if time.Since(begun) > bound/2 {
+			t.Fatalf("%d connections, %d goroutines, before %d", kept(), runtime.NumGoroutine(), before)
+		}
+	}
+	if len(r.peers) != 1 {
+		t.Errorf("%d actors", len(r.peers))
+	}
+}
