--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -141,7 +141,7 @@
 // compare holds the trace against the one kept, named after the test.
 func (s *script) compare() {
 	s.Helper()
-	path := filepath.Join("testdata", strings.TrimPrefix(s.Name(), "Test")+".txt")
+	path := filepath.Join("testdata", strings.ReplaceAll(strings.TrimPrefix(s.Name(), "Test"), "/", "-")+".txt")
 	if *update {
 		if err := os.WriteFile(path, []byte(s.out.String()), 0o644); err != nil {
 			s.Fatal(err)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,6 +24,7 @@
 	loosest     = 2.0         // highest rate, as a multiple of the recent accepted rate
 	tightest    = 1.0 / 4     // lowest rate, likewise
 	step        = 1.0 / 4     // of the rate: down for each multiple of the target too much, up at the most
+	drainedTo   = 1.0 / 4     // of the most that a server held at its marks: their queue is gone
 	quietShare  = 1.0 / 8     // marks an accepted push that the control of all servers steers to
 	slowShare   = 1.0 / 3     // slow answers are marks while more than this share is slow
 	errorShare  = 1.0 / 8     // errors are marks while more than this share of all answers is one
@@ -73,7 +74,7 @@
 
 // steer moves LeakAmount, faster the further marks are off target, then the cut (8.2.3, 8.2.5).
 // It ends control after endAfter with no mark and no rejection (8.2.4).
-func (t *throttle) steer(now Micros, levels int) (log string) {
+func (t *throttle) steer(now Micros, levels int, drained bool) (log string) {
 	if !t.on {
 		return ""
 	}
@@ -81,10 +82,11 @@
 		return fmt.Sprintf("control of %s ends after %d ms, %d offered, %d rejected",
 			t.of, (now-t.since)/Millisecond, t.offered, t.rejected)
 	}
-	// Danger: after a burst of marks their rate stays high when none has come for long.
+	// Danger: after a burst of marks their rate stays high when none has come for long, or when the queue
+	// that made them is gone; the server would be shut for seconds, holding nothing.
 	off := t.marks.read(now) / t.target
 	if gap := now - t.marked; gap > beat {
-		off = min(off, float64(Second)/float64(gap)/t.target)
+		off = min(off, float64(Second)/float64(gap)/t.target*number(!drained))
 	}
 	switch {
 	case off > 1 && t.leak > t.low:
@@ -486,6 +488,7 @@
 func (n *Node) mark(s *server) {
 	// Danger: a fleet that starts in overload jams before the cut has risen from below (8.2.5 c).
 	cut := int(number(n.beats <= float64(period/beat))) * (len(n.levels) - 1)
+	s.crowd = max(s.crowd*number(s.on), float64(s.held))
 	n.log(s.throttle.mark(n.now, cut))
 	if n.quiet() {
 		n.log(n.all.mark(n.now, cut))
@@ -508,7 +511,7 @@
 	warm := 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
-		n.log(s.steer(n.now, len(n.levels)))
+		n.log(s.steer(n.now, len(n.levels), s.crowd >= fill && float64(s.held) <= s.crowd*drainedTo))
 		warm += number(s.used && s.down <= n.now) * s.warmth(n.now, &n.cold)
 	}
 	// Danger: an answer that never comes says so late, and a quiet node has few others: overdue is slow.
@@ -521,7 +524,7 @@
 		}
 	}
 	n.all.target = max(target, quietShare*n.all.accepted.whole(n.now))
-	n.log(n.all.steer(n.now, len(n.levels)))
+	n.log(n.all.steer(n.now, len(n.levels), false))
 	n.moved += int(number(n.rng.Float64() < float64(beat)/float64(endAfter))) // one exchange in that time
 	n.choose()
 	if warm > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -172,6 +172,32 @@
 	s.compare()
 }
 
+// Danger: steps down go on while marks are remembered; a short queue would shut a server that holds nothing any more.
+// While the queue stands they go on all the same.
+func TestDrained(t *testing.T) {
+	for _, name := range []string{"Drained", "Standing"} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, pushed, untaxed, safe, plain)
+			s.list(ListCached, servers(1))
+			s.quiet("well", func() { s.ops(200, 1, Acked) })
+			s.quiet("twenty wait, and more if it stands", func() {
+				for id := OpID(1); id <= 20; id++ {
+					s.op(id, 1)
+				}
+				s.wait(10 * Millisecond)
+				for id := OpID(1); id <= 10 || name == "Drained" && id <= 20; id++ {
+					s.end(id, 0, Full)
+				}
+			})
+			for range 6 {
+				s.quiet("well, 500 ms", func() { s.ops(50, 1, Acked) })
+				s.note("cut %d, rate %.0f", s.node.servers[0].cut, s.node.servers[0].leak*50)
+			}
+			s.compare()
+		})
+	}
+}
+
 // Slow answers are marks only while more than their share of recent ones is slow.
 func TestSlow(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
@@ -437,3 +463,25 @@
 	s.note("%.1f marks/s", s.node.all.marks.read(s.now))
 	s.compare()
 }
+
+// Danger: servers and ops are ever new on long days; what the module keeps is bounded by what is there at once.
+func TestReplacements(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	list := servers(4)
+	s.list(ListCached, list)
+	for i := range 3000 {
+		gone := list[i%4]
+		gone.State = Gone
+		list[i%4] = Entry{Server: ServerID(i + 5), Started: s.now, Weight: 1}
+		s.last++
+		s.step(Input{Kind: OpArrived, Op: s.last, NotAfter: s.now + 3*Second})
+		s.step(Input{Kind: ListCame, Form: ListChanges, List: []Entry{gone, list[i%4]}})
+		if s.inHand() {
+			s.step(Input{Kind: PushEnded, Op: s.last, Outcome: Acked, Took: Millisecond, Settled: true})
+		}
+		s.now += 10 * Millisecond
+	}
+	if n := s.node; len(n.servers) > 6 || len(n.byID) > 6 || len(n.ops) > 4 || len(n.byOp) > 0 {
+		t.Errorf("kept: %d servers, %d by id, %d ops, %d by id", len(n.servers), len(n.byID), len(n.ops), len(n.byOp))
+	}
+}
--- a/policy/types.go
+++ b/policy/types.go
@@ -273,6 +273,7 @@
 	Entry
 	throttle
 	held     int     // pushes out
+	crowd    float64 // the most that it held at a mark, while under control
 	turn     float64 // of the weighted rotation
 	pace     float64 // recent answer times, as a multiple of their categories'
 	errors   float64 // share of recent pushes that ended in an error
