A planned restart ends though bad clients connect without a break

The listener's quiet window began anew with each connection (listener.Accept), and Shutdown waits for what never ends. Ruled out: ops in hand (none near the kill), sockets and CPU, far from their limits.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -124,8 +124,26 @@
 	s.draining.Store(true)
 	s.listener.drain()
 	<-served
-	if s.http.Shutdown(ctx) != nil {
-		s.http.Close()
+	// Danger: what bad clients have begun and never end would hold the restart up for seconds, and the next node may
+	// go down meanwhile. Once no op has been in hand for a while, nothing that stands open is a whole request.
+	over := make(chan error, 1)
+	go func() { over <- s.http.Shutdown(ctx) }()
+	look := time.NewTicker(leastWait / 10)
+	defer look.Stop()
+	for busy := time.Now(); ; {
+		select {
+		case err := <-over:
+			if err != nil {
+				s.http.Close()
+			}
+			return
+		case now := <-look.C:
+			if !s.ids.none() {
+				busy = now
+			} else if now.Sub(busy) > leastWait {
+				s.http.Close()
+			}
+		}
 	}
 }
 
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -436,3 +436,44 @@
 		}
 	}
 }
+
+// Danger: bad clients that connect without a break, say nothing, or begin and never end, would keep a planned restart
+// from ending; the node would be killed with what it holds, and be back late.
+func TestDrainAmongBadClients(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 500, holding(ops))
+	running := r.dial(t)
+	io.WriteString(running.Conn, request("GET", "/browse", ""))
+	op := <-ops
+	half := request("POST", "/booking", "body")
+	end := make(chan bool)
+	var flood sync.WaitGroup
+	flood.Go(func() {
+		var open []net.Conn
+		for i := 0; ; i++ {
+			select {
+			case <-end:
+				for _, c := range open {
+					c.Close()
+				}
+				return
+			case <-time.After(10 * time.Millisecond):
+			}
+			if c, err := net.Dial("tcp", r.addr); err == nil {
+				io.WriteString(c, half[:len(half)*(i%3)/2-i%3]) // nothing, half a head, all but the body's end
+				open = append(open, c)
+			}
+		}
+	})
+	begun := time.Now()
+	time.AfterFunc(linger, func() { served(op) })
+	r.Drain(r.served)
+	if took := time.Since(begun); took > linger+4*quietWindow+leastWait+time.Second/2 {
+		t.Errorf("took %v", took)
+	}
+	if got := running.answer(); got != "200 close GET /browse " {
+		t.Errorf("the op in hand: %s", got)
+	}
+	close(end)
+	flood.Wait()
+}
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"canvasrouter/internal/sockets"
@@ -28,6 +29,8 @@
 	ctx  context.Context // done when nothing more is to be taken
 	end  context.CancelFunc
 	last bool // past linger: the backlog is being emptied
+
+	until atomic.Pointer[time.Time] // when that ends at the latest
 }
 
 func newListener(tcp *net.TCPListener, part *sockets.Part) *listener {
@@ -47,13 +50,13 @@
 		switch {
 		case err == nil:
 			if l.last {
-				l.SetDeadline(time.Now().Add(quietWindow))
+				l.SetDeadline(l.quietBy())
 			}
 			return &conn{Conn: l.part.Own(tcp), tcp: tcp, came: time.Now()}, nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && !l.last:
 			// Danger: closing now would reset connections that wait in the backlog.
 			l.last = true
-			l.SetDeadline(time.Now().Add(quietWindow))
+			l.SetDeadline(l.quietBy())
 			continue
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			err = net.ErrClosed
@@ -71,8 +74,19 @@
 	return l.part.Take(ctx) == nil
 }
 
+// quietBy is when the backlog counts as empty, unless something comes before. Danger: bad clients connect without a
+// break, and it would never be.
+func (l *listener) quietBy() time.Time {
+	if by := time.Now().Add(quietWindow); by.Before(*l.until.Load()) {
+		return by
+	}
+	return *l.until.Load()
+}
+
 // drain takes connections for a while yet, then closes.
 func (l *listener) drain() {
+	until := time.Now().Add(linger + 4*quietWindow)
+	l.until.Store(&until)
 	l.SetDeadline(time.Now().Add(linger))
 	time.AfterFunc(linger+4*quietWindow, l.end) // should it be waiting for a socket
 }
@@ -105,6 +119,13 @@
 	return true
 }
 
+// none says that no op is in hand.
+func (i *ids) none() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.held) == 0
+}
+
 func (i *ids) give(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
