--- a/policy/policy.go
+++ b/policy/policy.go
@@ -102,7 +102,11 @@
 }
 
 // observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now, sent Micros, how Outcome, dial Micros, common *float64) (mark bool) {
+func (s *server) observe(now, sent Micros, how Outcome, dial Micros, common, away *float64) (mark bool) {
+	if how == Acked || how == Full {
+		learn(&s.away, number(how == Full), shareMemory)
+		learn(away, number(how == Full), 4*shareMemory)
+	}
 	if how == Acked || how == Errored {
 		s.heard = now
 		learn(&s.errors, number(how == Errored), shareMemory)
@@ -113,7 +117,8 @@
 		s.failures = 0
 	case Full, TimedOut:
 		// Danger: a server that fell silent still looks free, and eats an op each turn.
-		if how == TimedOut && s.heard < sent {
+		// And one that turns nearly all away, late, is fed by the rotation with what the cut lets pass.
+		if how == TimedOut && s.heard < sent || how == Full && s.away > 1.0/2 && s.away > 2**away {
 			s.fail(now, dial)
 		}
 		return true
@@ -453,7 +458,7 @@
 			n.slow(s, in.Took > n.slowAfter(o))
 		}
 	}
-	if s.observe(n.now, o.sent[in.Push], in.Outcome, n.rule.Dial, &n.errors) && !marked {
+	if s.observe(n.now, o.sent[in.Push], in.Outcome, n.rule.Dial, &n.errors, &n.away) && !marked {
 		n.mark(s)
 	}
 	if s.down > n.now {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -198,6 +198,40 @@
 	}
 }
 
+// Danger: a server that turns nearly all away, late, is fed what the cut lets pass. It leaves the rotation while others
+// do not do so; where all do, none leaves.
+func TestTurnsAway(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(3))
+	turning := func(n int, is func(ServerID) bool) {
+		for i := range n {
+			s.play(CategoryID(i%2), func(to ServerID) Outcome {
+				if is(to) {
+					return Full
+				}
+				return Acked
+			})
+			s.wait(10 * Millisecond)
+		}
+	}
+	down := func() (n int) {
+		for i := range s.node.servers {
+			n += int(number(s.node.servers[i].down > s.now))
+		}
+		return n
+	}
+	s.quiet("well", func() { turning(100, func(ServerID) bool { return false }) })
+	for range 3 {
+		s.quiet("c turns all away", func() { turning(100, func(to ServerID) bool { return to == 3 }) })
+		s.note("%d down", down())
+	}
+	s.quiet("all turn all away", func() { turning(100, func(ServerID) bool { return true }) })
+	s.note("%d down", down())
+	s.quiet("well, 10 s", func() { turning(1000, func(ServerID) bool { return false }) })
+	s.note("%d down", down())
+	s.compare()
+}
+
 // Slow answers are marks only while more than their share of recent ones is slow.
 func TestSlow(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
--- a/policy/types.go
+++ b/policy/types.go
@@ -277,6 +277,7 @@
 	turn     float64 // of the weighted rotation
 	pace     float64 // recent answer times, as a multiple of their categories'
 	errors   float64 // share of recent pushes that ended in an error
+	away     float64 // share of them that it turned away
 	failures int     // in a row
 	heard    Micros  // last answer of any kind
 	down     Micros  // no push before this
@@ -312,6 +313,7 @@
 	free      []int32
 	byOp      map[OpID]int32
 	errors    float64  // share of recent answers of all servers that are errors
+	away      float64  // and that turn a push away
 	again     float64  // further pushes saved up
 	carry     float64  // acks a second of a warm server, over a longer time
 	bearable  float64  // pushes a second that a warm server of this node surely bears
