--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -69,6 +69,7 @@
 	fresh  bool      // a push has the connection and has written nothing yet
 	at     phase     // what comes next
 	since  time.Time // idle
+	served bool      // it has brought an answer
 	head   []byte    // so far
 	left   int       // of the body, or unknown
 	came   bool      // some of the answer to the present push
@@ -81,10 +82,13 @@
 	return c.Conn.Close()
 }
 
-// rested says how long the connection has to stand yet.
-func (c *conn) rested() time.Duration {
+// unrested says how long the connection has to stand yet before a push. A new one has brought nothing.
+func (c *conn) unrested() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.served {
+		return 0
+	}
 	return rest - time.Since(c.since)
 }
 
@@ -111,7 +115,7 @@
 }
 
 func (c *conn) Write(b []byte) (int, error) {
-	time.Sleep(c.rested())
+	time.Sleep(c.unrested())
 	if !c.fit() {
 		return 0, errNotAsked
 	}
@@ -179,7 +183,7 @@
 		}
 		used += n
 		if c.at == body && c.left == 0 {
-			c.at, c.since = idle, time.Now()
+			c.at, c.since, c.served = idle, time.Now(), true
 		}
 	}
 	if used < len(b) {
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -446,6 +446,27 @@
 	}
 }
 
+// A connection stands still after an answer, and only then.
+func TestRest(t *testing.T) {
+	near, _ := net.Pipe()
+	k := &keep{conns: make(map[*conn]bool)}
+	c := k.add(&conn{Conn: (&sockets.Part{}).Own(near), in: k, stall: time.Second})
+	if wait := c.unrested(); wait > 0 {
+		t.Errorf("a new connection waits %v", wait)
+	}
+	c.begin()
+	if !c.fit() {
+		t.Fatal("a new connection is not fit")
+	}
+	whole := answer("200 OK", "fine")
+	if n, err := c.follow([]byte(whole), nil); n != len(whole) || err != nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+	if wait := c.unrested(); wait <= 0 || wait > rest {
+		t.Errorf("after an answer it waits %v", wait)
+	}
+}
+
 // with puts a passage on a connection as it is, part of its request written.
 func (w *passage) with(c *conn) *passage {
 	w.conn.Store(c)
