A connection asks for its kernel handle once, not at each read

On reading the change again: servers.conn found its TCP socket and made a raw handle anew in stirred and in receive, at each read of each answer. It is kept from the moment the connection is added.

--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"canvasrouter/internal/sockets"
@@ -62,6 +63,7 @@
 	*sockets.Conn
 	of    *peer
 	in    *keep
+	raw   syscall.RawConn // nil where the kernel can't be asked
 	stall time.Duration
 	wrote atomic.Int32 // since its push began
 
@@ -134,7 +136,7 @@
 	if !c.fresh {
 		return true
 	}
-	if c.at != idle || stirred(c.Conn.Conn) {
+	if c.at != idle || c.stirred() {
 		c.at = spent
 		return false
 	}
@@ -147,7 +149,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.receive(b)
-		if errors.Is(err, os.ErrDeadlineExceeded) && stirred(c.Conn.Conn) {
+		if errors.Is(err, os.ErrDeadlineExceeded) && c.stirred() {
 			c.SetReadDeadline(time.Now().Add(c.stall)) // bytes are there: it was this process that had to wait
 			continue
 		}
@@ -265,6 +267,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c.since = time.Now()
+	if socket, ok := c.Conn.Conn.(syscall.Conn); ok {
+		c.raw, _ = socket.SyscallConn()
+	}
 	k.conns[c] = true
 	return c
 }
--- a/internal/servers/stirred_unix.go
+++ b/internal/servers/stirred_unix.go
@@ -4,23 +4,17 @@
 
 import (
 	"io"
-	"net"
 
 	"golang.org/x/sys/unix"
 )
 
 // stirred says that bytes or an end have come on a connection that nobody has read yet. It takes nothing out and does
 // not wait, also while somebody else waits to read.
-func stirred(conn net.Conn) (yes bool) {
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
+func (c *conn) stirred() (yes bool) {
+	if c.raw == nil {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		yes = err != unix.EAGAIN && err != unix.EINTR
@@ -31,15 +25,10 @@
 // receive reads and follows in one step, as fit sees it. Danger: bytes taken out of the kernel while no push was out, by
 // a reader that then had to wait for its core, would be followed as the answer to a push that began meanwhile.
 func (c *conn) receive(b []byte) (n int, err error) {
-	tcp, ok := c.Conn.Conn.(*net.TCPConn)
-	if !ok {
+	if c.raw == nil {
 		return c.receiveAnyhow(b)
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	over := raw.Read(func(fd uintptr) bool {
+	over := c.raw.Read(func(fd uintptr) bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		n, err = unix.Read(int(fd), b)
