The cut over a drained server falls at once, with its rate at the lowest

The cut stood over the low benefit, so its rate refused nothing, and had to climb from a quarter to twice the accepted rate (2.3 s) before the cut fell; then the same climb again below it. The drained exception let the rate recover and not the cut (steer's last two cases). TestDrainedCut fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -93,10 +93,12 @@
 		t.leak = max(t.low, t.leak*max(0.5, 1-step*(off-1)))
 	case off > 1 && t.cut+1 < levels:
 		t.cut, t.count, t.leak = t.cut+1, fill, t.high
-	case off < 1 && t.leak < t.high:
-		t.leak = min(t.high, t.leak*(1+step*(1-off)))
-	case off < 1 && t.cut > 0:
+	// Danger: few ops have more benefit than most; a cut that falls only after its own rate has risen keeps a
+	// drained server idle for seconds.
+	case off < 1 && t.cut > 0 && (off == 0 || t.leak == t.high):
 		t.cut, t.count, t.leak = t.cut-1, fill, t.low
+	case off < 1:
+		t.leak = min(t.high, t.leak*(1+step*(1-off)))
 	}
 	return ""
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -198,6 +198,40 @@
 	}
 }
 
+// Danger: few ops are above the cut, so a server whose queue is gone stays nearly idle until the cut falls. It falls at
+// the next beat; while the queue stands it does not.
+func TestDrainedCut(t *testing.T) {
+	for _, name := range []string{"Drained", "Standing"} {
+		t.Run(name, func(t *testing.T) {
+			s := start(t, pushed, untaxed, safe, plain)
+			s.list(ListCached, servers(1))
+			s.quiet("well", func() { s.ops(300, 1, Acked) })
+			s.quiet("twenty wait", func() {
+				for id := OpID(1); id <= 20; id++ {
+					s.op(id, 0)
+				}
+			})
+			s.quiet("the low benefit turned away, 2 s", func() {
+				for range 4 {
+					s.ops(4, 1, Full)
+					s.wait(460 * Millisecond)
+				}
+			})
+			s.note("cut %d", s.node.servers[0].cut)
+			s.quiet("answered, if it is drained", func() {
+				for id := OpID(1); id <= 20 && name == "Drained"; id++ {
+					s.end(id, 0, Acked)
+				}
+			})
+			for range 4 {
+				s.quiet("well, 250 ms", func() { s.ops(25, 1, Acked) })
+				s.note("cut %d", s.node.servers[0].cut)
+			}
+			s.compare()
+		})
+	}
+}
+
 // Danger: a server that turns nearly all away, late, is fed what the cut lets pass. It leaves the rotation while others
 // do not do so; where all do, none leaves.
 func TestTurnsAway(t *testing.T) {
