--- a/policy/policy.go
+++ b/policy/policy.go
@@ -521,10 +521,10 @@
 		n.log(s.steer(n.now, len(n.levels), s.crowd >= fill && float64(s.held) <= s.crowd*drainedTo))
 		warm += number(s.used && s.down <= n.now) * s.warmth(n.now, &n.cold)
 	}
-	// Danger: an answer that never comes says so late, and a quiet node has few others: overdue is slow.
+	// Danger: an answer that is late says so late, and the queue grows meanwhile: overdue is slow.
 	for p := range n.ops {
 		for k, o := PushNo(0), &n.ops[p]; k < PushNo(o.pushes); k++ {
-			if o.to[k] >= 0 && o.late&(1<<k) == 0 && n.quiet() && n.now-o.sent[k] > n.slowAfter(o) {
+			if o.to[k] >= 0 && o.late&(1<<k) == 0 && n.now-o.sent[k] > n.slowAfter(o) {
 				o.late |= 1 << k
 				n.slow(&n.servers[o.to[k]], true)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -532,6 +532,22 @@
 	s.compare()
 }
 
+// Danger: at a busy node a queue grows for as long as an answer takes before its marks are seen. An overdue push is a
+// mark there too while it is out: control starts before any of them ends.
+func TestOverdueBusy(t *testing.T) {
+	s := start(t, pushed, untaxed, safe, plain)
+	s.list(ListCached, servers(2))
+	s.quiet("well, 3 s", func() { s.ops(300, 0, Acked) })
+	s.quiet("nothing comes back, 1 s", func() {
+		for range 100 {
+			s.last++
+			s.op(s.last, 1)
+			s.wait(10 * Millisecond)
+		}
+	})
+	s.compare()
+}
+
 // Danger: servers and ops are ever new on long days; what the module keeps is bounded by what is there at once.
 func TestReplacements(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
