A draining node serves kept connections for as long as the time to the kill allows

The logs: n1 drains at 13.2 and is back at 17.6; n0 drains at 16.2 and was gone at 16.8, as Drain closed idle connections with the listener and write closed the others, so for 0.8 s no node took anything. Ruled out: the list (told in time), CPU, sockets. PROTOCOL lets clients use what they have for as long as it stays open, and the kill comes no sooner than the longest TTL and 0.7 s. Connections that came after SIGTERM are closed with their answer as before; kept ones are served until a third of the longest TTL and 0.2 s before the kill, and no op taken meanwhile may wait longer than to 0.2 s before it. TestDrain fails without it.

--- a/cmd/canvasrouter/main.go
+++ b/cmd/canvasrouter/main.go
@@ -113,13 +113,13 @@
 	select {
 	case <-terminate.Done():
 		log.Info().Msg("planned restart: draining")
-		front.Drain(served)
+		front.Drain(served, true)
 		log.Info().Msg("drained")
 		return nil
 	case err := <-served:
 		return fmt.Errorf("clients: %w", err)
 	case err := <-worked:
-		front.Drain(served) // the answers of what was in hand go out
+		front.Drain(served, false) // the answers of what was in hand go out
 		return err
 	}
 }
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -39,7 +39,9 @@
 	mostHeader     = 16 << 10
 	complainEvery  = time.Second // between two log lines on bad requests
 	longestWait    = time.Hour
-	coarse         = 10 * time.Millisecond // the kernel tells times in steps of some milliseconds
+	killAfter      = 700 * time.Millisecond // a planned restart may be cut short this long after the longest TTL
+	exitTime       = 200 * time.Millisecond // of it, to close what is open and to exit
+	coarse         = 10 * time.Millisecond  // the kernel tells times in steps of some milliseconds
 	statusNack     = http.StatusServiceUnavailable
 	statusDead     = http.StatusBadGateway
 	statusInternal = http.StatusInternalServerError
@@ -69,7 +71,14 @@
 	listener *listener
 	idle     idlers
 	ids      ids
-	draining atomic.Bool
+	open     atomic.Int32          // connections
+	drain    atomic.Pointer[drain] // nil until a planned restart
+}
+
+// drain is a planned restart: when it began, and when the last answer must be out.
+type drain struct {
+	begun time.Time
+	end   policy.Micros
 }
 
 // Listen opens the listener; Serve answers on it.
@@ -96,8 +105,13 @@
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.idle.set(c, state)
-			if state == http.StateIdle {
+			switch state {
+			case http.StateNew:
+				s.open.Add(1)
+			case http.StateIdle:
 				part.Idle()
+			case http.StateClosed, http.StateHijacked:
+				s.open.Add(-1)
 			}
 		},
 	}
@@ -117,13 +131,18 @@
 }
 
 // Drain loses nothing taken: new connections are taken and served for a while, with answers that close them,
-// then the listener closes and ops in hand are finished. Serve must be over, or end by it.
-func (s *Server) Drain(served <-chan error) {
-	ctx, cancel := context.WithTimeout(context.Background(), linger+s.options.Longest)
+// then the listener closes and ops in hand are finished. Serve must be over, or end by it. With stay, connections that
+// clients have kept are served for as long as the time to the kill allows.
+func (s *Server) Drain(served <-chan error, stay bool) {
+	begun, last := time.Now(), s.options.Longest+killAfter-exitTime
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(last))
 	defer cancel()
-	s.draining.Store(true)
+	s.drain.Store(&drain{begun: begun, end: s.clock.Now() + policy.Micros(last/time.Microsecond)})
 	s.listener.drain()
 	<-served
+	if stay {
+		s.stay(begun.Add(last - s.options.Longest/3))
+	}
 	// Danger: what bad clients have begun and never end would hold the restart up for seconds, and the next node may
 	// go down meanwhile. Once no op has been in hand for a while, nothing that stands open is a whole request.
 	over := make(chan error, 1)
@@ -147,9 +166,28 @@
 	}
 }
 
+// stay serves the connections that clients have kept. Danger: the next node may be in a planned restart itself, and clients
+// that are sent away from here at once find none. A third of the longest TTL is left for the last ops.
+func (s *Server) stay(until time.Time) {
+	look := time.NewTicker(quietWindow)
+	defer look.Stop()
+	for now := range look.C {
+		if s.open.Load() == 0 || now.After(until) {
+			return
+		}
+	}
+}
+
+// closes says that a connection came after a planned restart began: its client is to go elsewhere.
+func (s *Server) closes(r *http.Request) bool {
+	d := s.drain.Load()
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return d != nil && ok && c.came.After(d.begun)
+}
+
 // ServeHTTP takes one op. There is no mux: it would clean paths and redirect.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.draining.Load() {
+	if s.closes(r) {
 		w.Header().Set("Connection", "close")
 	}
 	// Danger: the library clears neither deadline between requests, and reads on after an answer to the end of a
@@ -256,6 +294,9 @@
 	op.Request = node.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
 	op.Category, op.Tenant = category, tenant
 	op.NotAfter = now + policy.Micros(remaining)*policy.Millisecond
+	if d := s.drain.Load(); d != nil {
+		op.NotAfter = min(op.NotAfter, d.end) // Danger: what the kill finds unanswered is lost
+	}
 	op.Repeated = r.Header.Get(repeatedHeader) == "1"
 	return op, 0, ""
 }
@@ -339,7 +380,7 @@
 
 func (s *Server) write(w http.ResponseWriter, answer node.Answer) {
 	defer answer.Body.Release()
-	if s.draining.Load() || answer.Excess {
+	if answer.Excess {
 		w.Header().Set("Connection", "close")
 	}
 	switch answer.Verdict {
