A time-out teaches a deviation and a quarter past the mean, not its own length

Ruled out: the inner servers' load (other categories there answered in 40 to 100 ms), sockets, the front's servers. TestMissingAnswers fails without the change.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,6 +31,7 @@
 	shareMemory = 16          // recent answers, for a server's shares
 	few         = 10          // servers in a node's rotation, and no fewer than the pushes allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
+	lateDevs    = 5.0 / 4     // deviations past the mean that a time-out teaches
 )
 
 func newThrottle(of string, tick Micros) throttle {
@@ -440,7 +441,7 @@
 	n.out--
 	if in.Outcome == Acked || in.Outcome == TimedOut {
 		learn(&s.pace, float64(in.Took)/took.mean, shareMemory)
-		took.learn(in.Took)
+		took.learn(in.Took, in.Outcome)
 		if !s.on {
 			learn(&took.usual, min(float64(in.Took), 4*took.usual), 16*shareMemory)
 		}
@@ -628,9 +629,15 @@
 	return r.read(now) / (1 - math.Exp(-float64(max(beat, now-r.first))/float64(period)))
 }
 
-func (a *answers) learn(took Micros) {
-	learn(&a.dev, math.Abs(float64(took)-a.mean), shareMemory)
-	learn(&a.mean, float64(took), shareMemory)
+// learn takes in an answer time, or that of a push that had none. Danger: where a tenth of the answers never come,
+// time-outs that teach their own length grow until no time is left for another push; where all are late they still do.
+func (a *answers) learn(took Micros, how Outcome) {
+	x := float64(took)
+	if how == TimedOut {
+		x = min(x, a.mean+lateDevs*a.dev)
+	}
+	learn(&a.dev, math.Abs(x-a.mean), shareMemory)
+	learn(&a.mean, x, shareMemory)
 }
 
 // learn moves a recent mean towards x.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -340,6 +340,30 @@
 	s.compare()
 }
 
+// Danger: where some answers never come, time-outs that teach their own length grow to the goal, and no time is left to
+// push again. Where all are late they grow all the same, or every push would be cut off.
+func TestMissingAnswers(t *testing.T) {
+	const goal = 900 * Millisecond
+	after := func(every int) Micros {
+		a := answers{mean: 100_000, dev: 30_000}
+		timeOut := func() Micros { return min(goal, Micros(a.mean+6*a.dev)) }
+		for i := range 300 {
+			if i%every == 0 {
+				a.learn(timeOut(), TimedOut)
+			} else {
+				a.learn(Micros(60+40*(i%3))*Millisecond, Acked)
+			}
+		}
+		return timeOut()
+	}
+	if got := after(6); got > goal/2 {
+		t.Errorf("a sixth missing: time-out after %d ms", got/Millisecond)
+	}
+	if got := after(1); got < goal {
+		t.Errorf("all late: time-out after %d ms", got/Millisecond)
+	}
+}
+
 // A node that sees marks before its memory is full refuses all but the highest benefit at once.
 func TestFirstCut(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
