--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -39,7 +39,8 @@
 	mostHeader     = 16 << 10
 	complainEvery  = time.Second // between two log lines on bad requests
 	longestWait    = time.Hour
-	killAfter      = 700 * time.Millisecond // a planned restart may be cut short this long after the longest TTL
+	killAfter      = 700 * time.Millisecond // a planned restart may be cut short this long after the longest TTL,
+	killTTL        = 3 * time.Second        // which counts for no more than this
 	exitTime       = 200 * time.Millisecond // of it, to close what is open and to exit
 	coarse         = 10 * time.Millisecond  // the kernel tells times in steps of some milliseconds
 	statusNack     = http.StatusServiceUnavailable
@@ -60,6 +61,9 @@
 	Longest             time.Duration   // TTL of any category: no op is in hand for longer
 }
 
+// drainTime is how long after SIGTERM the last answer must be out. Danger: the kill does not wait for longer TTLs.
+func (o *Options) drainTime() time.Duration { return min(o.Longest, killTTL) + killAfter - exitTime }
+
 // Server takes ops.
 type Server struct {
 	options  Options
@@ -134,14 +138,14 @@
 // then the listener closes and ops in hand are finished. Serve must be over, or end by it. With stay, connections that
 // clients have kept are served for as long as the time to the kill allows.
 func (s *Server) Drain(served <-chan error, stay bool) {
-	begun, last := time.Now(), s.options.Longest+killAfter-exitTime
+	begun, last := time.Now(), s.options.drainTime()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(last))
 	defer cancel()
 	s.drain.Store(&drain{begun: begun, end: s.clock.Now() + policy.Micros(last/time.Microsecond)})
 	s.listener.drain()
 	<-served
 	if stay {
-		s.stay(begun.Add(last - s.options.Longest/3))
+		s.stay(begun.Add(last - min(s.options.Longest, killTTL)/3))
 	}
 	// Danger: what bad clients have begun and never end would hold the restart up for seconds, and the next node may
 	// go down meanwhile. Once no op has been in hand for a while, nothing that stands open is a whole request.
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -431,7 +431,7 @@
 	if got := kept.answer(); got != "200 GET /browse " {
 		t.Errorf("a kept connection: %s", got)
 	}
-	time.Sleep(time.Until(r.drain.Load().begun.Add(r.options.Longest + killAfter - exitTime - r.options.Longest/4)))
+	time.Sleep(time.Until(r.drain.Load().begun.Add(r.options.drainTime() - r.options.Longest/4)))
 	served(op)
 	if got := running.answer(); got != "200 close GET /browse " {
 		t.Errorf("the op in hand: %s", got)
@@ -449,6 +449,16 @@
 	}
 }
 
+// Danger: the kill comes no later for TTLs over three seconds; an op that waited for them would be lost.
+func TestDrainTime(t *testing.T) {
+	for longest, want := range map[time.Duration]time.Duration{time.Second: 1500 * time.Millisecond,
+		6 * time.Second: 3500 * time.Millisecond} {
+		if got := (&Options{Longest: longest}).drainTime(); got != want {
+			t.Errorf("with a TTL of %v: %v", longest, got)
+		}
+	}
+}
+
 // Danger: bad clients that connect without a break, say nothing, or begin and never end, would keep a planned restart
 // from ending; the node would be killed with what it holds, and be back late.
 func TestDrainAmongBadClients(t *testing.T) {
