--- a/policy/policy.go
+++ b/policy/policy.go
@@ -629,8 +629,8 @@
 	return r.read(now) / (1 - math.Exp(-float64(max(beat, now-r.first))/float64(period)))
 }
 
-// learn takes in an answer time, or that of a push that had none. Danger: where a tenth of the answers never come,
-// time-outs that teach their own length grow until no time is left for another push; where all are late they still do.
+// learn takes in how long a push took. Danger: where a tenth of the answers never come, time-outs that teach
+// their own length grow until no time is left for another push. Where all are late they still grow.
 func (a *answers) learn(took Micros, how Outcome) {
 	x := float64(took)
 	if how == TimedOut {
