--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -61,8 +61,13 @@
 	Longest             time.Duration   // TTL of any category: no op is in hand for longer
 }
 
-// drainTime is how long after SIGTERM the last answer must be out. Danger: the kill does not wait for longer TTLs.
-func (o *Options) drainTime() time.Duration { return min(o.Longest, killTTL) + killAfter - exitTime }
+// drainTimes are how long after SIGTERM connections that clients have kept are served, and when the last answer must be
+// out; a third of the longest TTL lies between. Danger: the kill does not wait for longer TTLs.
+func (o *Options) drainTimes() (stay, last time.Duration) {
+	longest := min(o.Longest, killTTL)
+	last = longest + killAfter - exitTime
+	return last - longest/3, last
+}
 
 // Server takes ops.
 type Server struct {
@@ -114,7 +119,7 @@
 				s.open.Add(1)
 			case http.StateIdle:
 				part.Idle()
-			case http.StateClosed, http.StateHijacked:
+			case http.StateClosed:
 				s.open.Add(-1)
 			}
 		},
@@ -125,6 +130,12 @@
 // connKey finds a request's connection in its context.
 type connKey struct{}
 
+// connOf is the connection that a request came on.
+func connOf(r *http.Request) (*conn, bool) {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	return c, ok
+}
+
 // Serve answers until Drain has closed the listener.
 func (s *Server) Serve() error {
 	err := s.http.Serve(s.listener)
@@ -138,14 +149,15 @@
 // then the listener closes and ops in hand are finished. Serve must be over, or end by it. With stay, connections that
 // clients have kept are served for as long as the time to the kill allows.
 func (s *Server) Drain(served <-chan error, stay bool) {
-	begun, last := time.Now(), s.options.drainTime()
+	begun := time.Now()
+	until, last := s.options.drainTimes()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(last))
 	defer cancel()
 	s.drain.Store(&drain{begun: begun, end: s.clock.Now() + policy.Micros(last/time.Microsecond)})
 	s.listener.drain()
 	<-served
 	if stay {
-		s.stay(begun.Add(last - min(s.options.Longest, killTTL)/3))
+		s.stay(begun.Add(until))
 	}
 	// Danger: what bad clients have begun and never end would hold the restart up for seconds, and the next node may
 	// go down meanwhile. Once no op has been in hand for a while, nothing that stands open is a whole request.
@@ -171,7 +183,7 @@
 }
 
 // stay serves the connections that clients have kept. Danger: the next node may be in a planned restart itself, and clients
-// that are sent away from here at once find none. A third of the longest TTL is left for the last ops.
+// that are sent away from here at once find none.
 func (s *Server) stay(until time.Time) {
 	look := time.NewTicker(quietWindow)
 	defer look.Stop()
@@ -185,7 +197,7 @@
 // closes says that a connection came after a planned restart began: its client is to go elsewhere.
 func (s *Server) closes(r *http.Request) bool {
 	d := s.drain.Load()
-	c, ok := r.Context().Value(connKey{}).(*conn)
+	c, ok := connOf(r)
 	return d != nil && ok && c.came.After(d.begun)
 }
 
@@ -287,7 +299,7 @@
 	// The op's time begins at its last byte. Danger: a node that had to wait for its core reads it later, and would
 	// answer after the client has gone.
 	now := s.clock.Now()
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+	if c, ok := connOf(r); ok {
 		if since, _ := received(c.tcp); since > coarse {
 			now -= min(policy.Micros(since/time.Microsecond), policy.Micros(remaining)*policy.Millisecond)
 		}
@@ -308,7 +320,7 @@
 // bodyDeadline ends the wait for a body. On a new connection it counts from connecting.
 func bodyDeadline(r *http.Request) time.Time {
 	begun := time.Now()
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok && !c.asked {
+	if c, ok := connOf(r); ok && !c.asked {
 		c.asked = true
 		return later(c.came.Add(wholeWait), begun.Add(leastWait))
 	}
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -431,7 +431,8 @@
 	if got := kept.answer(); got != "200 GET /browse " {
 		t.Errorf("a kept connection: %s", got)
 	}
-	time.Sleep(time.Until(r.drain.Load().begun.Add(r.options.drainTime() - r.options.Longest/4)))
+	_, end := r.options.drainTimes()
+	time.Sleep(time.Until(r.drain.Load().begun.Add(end - r.options.Longest/4)))
 	served(op)
 	if got := running.answer(); got != "200 close GET /browse " {
 		t.Errorf("the op in hand: %s", got)
@@ -453,7 +454,7 @@
 func TestDrainTime(t *testing.T) {
 	for longest, want := range map[time.Duration]time.Duration{time.Second: 1500 * time.Millisecond,
 		6 * time.Second: 3500 * time.Millisecond} {
-		if got := (&Options{Longest: longest}).drainTime(); got != want {
+		if _, got := (&Options{Longest: longest}).drainTimes(); got != want {
 			t.Errorf("with a TTL of %v: %v", longest, got)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -95,7 +95,7 @@
 	case off > 1 && t.cut+1 < levels:
 		t.cut, t.count, t.leak = t.cut+1, fill, t.high
 	// Danger: few ops have more benefit than most; a cut that falls only after its own rate has risen keeps a
-	// drained server idle for seconds.
+	// drained server (off is 0) idle for seconds.
 	case off < 1 && t.cut > 0 && (off == 0 || t.leak == t.high):
 		t.cut, t.count, t.leak = t.cut-1, fill, t.low
 	case off < 1:
