Control of all servers together recovers once what stood at them has come back

Marks are remembered for 2 s and come up to 1 s after their queue, so steer halves and raises the cut by old ones. The exception `drained` ends that for one server; tick passed false for all together. Ruled out: servers, the tier below, the list, retries.

Change: mark keeps the most that was out, tick passes drained by it. Debug line for each entry of a list. TestDrainedTogether.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -275,6 +275,13 @@
 }
 
 func (n *Node) listed(list *List) {
+	if n.log.Debug().Enabled() {
+		for i, e := range list.Entries {
+			n.log.Debug().Str("server", fmt.Sprintf("%012x", e.Server)).Str("addr", list.Addrs[i]).Uint8("state", uint8(e.State)).
+				Uint8("zone", uint8(e.Zone)).Float64("weight", e.Weight).
+				Int64("age_ms", int64(n.clock.Now()-e.Started)/int64(policy.Millisecond)).Msg("entry")
+		}
+	}
 	n.servers.Follow(list)
 	n.step(&policy.Input{Kind: policy.ListCame, Form: list.Form, List: list.Entries})
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -501,6 +501,7 @@
 	s.crowd = max(s.crowd*number(s.on), float64(s.held))
 	n.log(s.throttle.mark(n.now, cut))
 	if n.quiet() {
+		n.crowd = max(n.crowd*number(n.all.on), n.out)
 		n.log(n.all.mark(n.now, cut))
 	}
 }
@@ -549,7 +550,8 @@
 		}
 	}
 	n.all.target = max(target, quietShare*n.all.accepted.whole(n.now))
-	n.log(n.all.steer(n.now, len(n.levels), false))
+	// Danger: all nodes meet a jam in one beat; each then shuts out a whole level of benefit for seconds.
+	n.log(n.all.steer(n.now, len(n.levels), n.crowd >= fill && n.out <= n.crowd*drainedTo))
 	n.moved += int(number(n.rng.Float64() < float64(beat)/float64(endAfter))) // one exchange in that time
 	n.choose()
 	if warm > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -232,6 +232,37 @@
 	}
 }
 
+// The control of all servers together recovers as soon as what stood at them has come back, too.
+func TestDrainedTogether(t *testing.T) {
+	for _, drained := range []bool{true, false} {
+		s := start(t, pushed, untaxed, safe, plain)
+		s.list(ListCached, servers(10))
+		for range 100 {
+			s.ops(1, 1, Acked)
+			s.wait(40 * Millisecond)
+		}
+		for id := OpID(1); id <= 20; id++ {
+			s.op(id, 0)
+		}
+		for range 12 {
+			s.play(0, func(ServerID) Outcome { return Full })
+			s.wait(100 * Millisecond)
+		}
+		if s.node.all.cut != 1 {
+			t.Fatalf("cut %d of a node whose pushes are turned away", s.node.all.cut)
+		}
+		for id := OpID(1); id <= 20 && drained; id++ {
+			if _, found := s.node.byOp[id]; found {
+				s.end(id, 0, Acked)
+			}
+		}
+		s.wait(3 * beat)
+		if cut := s.node.all.cut; drained != (cut == 0) {
+			t.Errorf("drained %v: cut %d", drained, cut)
+		}
+	}
+}
+
 // Danger: a server that turns nearly all away, late, is fed what the cut lets pass. It leaves the rotation while others
 // do not do so; where all do, none leaves.
 func TestTurnsAway(t *testing.T) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -322,6 +322,7 @@
 	full      bool     // a server here turns ops away
 	all       throttle // of all servers together, while each is too quiet to be seen
 	up, out   float64  // servers in the rotation that are not down; pushes out
+	crowd     float64  // the most that were out at a mark, while all are under control
 	ring      []int32  // ready servers by id
 	moved     int      // exchanges so far
 	beatAt    Micros   // next beat of the steering
