First tier: control of all servers acts up to 12 ops a second a server

Each server's own control steers to half a mark a second a node. Ruled out: the list (told within 0.2 s), cold servers (85% warm), dials (none fail).

Change: Node.quiet's bound in the first tier is three times the target over the share that shared control steers to.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -507,12 +507,12 @@
 }
 
 // quiet says that servers see too little of this node for marks of one alone to tell. Danger: the target
-// lets its marks pass from each of many nodes; where they are over the share that the control of all servers
-// steers to, queues stand late for good. Below the first tier a nack throws away work that was done.
+// lets its marks pass from each of many nodes; where they are over a third of the share that the control of
+// all servers steers to, queues stand late for good. Below the first tier a nack throws away work done.
 func (n *Node) quiet() bool {
 	most := 3 * target
 	if n.place.Tier == 0 {
-		most = target / quietShare
+		most = 3 * target / quietShare
 	}
 	return n.all.accepted.whole(n.now) < most*n.up
 }
