Where only draining binds, servers that the list drops keep their turns, by steps

Node.follow and Node.may took the list's word; safety.gone_is_advice was read nowhere.

A dropped server keeps its place until its own pushes speak against it; turns move by an eighth a beat, forgotten after 30 s without an answer.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -126,6 +126,13 @@
 	return false
 }
 
+func (s *settings) flagOr(key string, fallback bool) bool {
+	if _, found := s.pairs[key]; !found {
+		return fallback
+	}
+	return s.flag(key)
+}
+
 func choice[T any](s *settings, key string, of map[string]T) T {
 	value := s.text(key)
 	out, found := of[value]
@@ -226,7 +233,7 @@
 			Factor: s.number("safety.overload_factor"), Window: s.span("safety.tip_after")},
 		Registry: policy.RegistryRule{
 			Ask:    choice(s, "registry_mode", map[string]bool{"ask": true, "push": false}),
-			Within: Micros(s.numberOr("safety.must_ask_in", 0))},
+			Within: Micros(s.numberOr("safety.must_ask_in", 0)), Advice: s.flagOr("safety.gone_is_advice", false)},
 		Categories: s.categories(),
 		Shares:     s.shares(),
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,8 +33,13 @@
 	few         = 10          // servers in a node's rotation, and no fewer than the pushes allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 	lateDevs    = 5.0 / 4     // deviations past the mean that a time-out teaches
+	trustStep   = 1.0 / 8     // of a dropped server's turns, at each beat
+	leastTrust  = 1.0 / 4     // of them, while it hasn't answered since
 )
 
+// ForgetAfter is how long a dropped server that has not answered since is remembered.
+const ForgetAfter = 3 * endAfter
+
 func newThrottle(of string, tick Micros) throttle {
 	return throttle{of: of, target: target, interval: leakTicks * tick}
 }
@@ -359,7 +364,7 @@
 			continue
 		}
 		// Danger: equal turns overfill those that are slower than the list says.
-		weight := s.Weight * s.warmth(n.now, &n.cold) / max(1, s.pace*s.pace)
+		weight := s.Weight * s.trust * s.warmth(n.now, &n.cold) / max(1, s.pace*s.pace)
 		s.turn += weight
 		total += weight
 	}
@@ -387,7 +392,7 @@
 	s, c := &n.servers[i], &n.kinds[o.category]
 	// A repeat that is bound to its group may find a server there beyond this node's own.
 	bound := o.risk > 0 && c.Repeat == Deduplicated && c.Scope != ScopeAll
-	if s.State != Ready || !s.used && !bound || float64(s.held) > most {
+	if !s.serves() || !s.used && !bound || float64(s.held) > most {
 		return false
 	}
 	// An op that cannot go again is not for trying a server out.
@@ -530,6 +535,7 @@
 	warm := 0.0
 	for i := range n.servers {
 		s := &n.servers[i]
+		n.doubt(s)
 		n.log(s.steer(n.now, len(n.levels), s.crowd >= fill && float64(s.held) <= s.crowd*drainedTo))
 		// Danger: a server that gets no turn can't show that it is well again.
 		if s.held == 0 && n.now-s.ended > endAfter {
@@ -573,26 +579,30 @@
 	if in.Form == ListWhole || in.Form == ListCached {
 		for i := range n.servers {
 			if !slices.ContainsFunc(in.List, func(e Entry) bool { return e.Server == n.servers[i].Server }) {
-				n.servers[i].State = Gone
+				n.gone(&n.servers[i])
 			}
 		}
 	}
 	for _, e := range in.List {
 		i, found := n.byID[e.Server]
+		if found && e.State == Gone {
+			n.gone(&n.servers[i])
+			continue
+		}
 		if !found {
 			i = n.room()
 			n.byID[e.Server] = i
 		}
 		s := &n.servers[i]
 		if !found || e.Started != s.Started {
-			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now},
+			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now}, trust: 1,
 				throttle: newThrottle(fmt.Sprintf("%012x", e.Server), n.place.Tick)}
 		}
 		s.Entry = e
 	}
 	n.ring = n.ring[:0]
 	for i := range n.servers {
-		if n.servers[i].used = false; n.servers[i].State == Ready {
+		if n.servers[i].used = false; n.servers[i].serves() {
 			n.ring = append(n.ring, int32(i))
 		}
 	}
@@ -604,6 +614,33 @@
 	}
 }
 
+// gone takes the list's word that a server is gone. Danger: a list may call a whole tier gone that serves; where
+// the word is advice, a server that has not drained keeps its place until its own pushes speak against it.
+func (n *Node) gone(s *server) {
+	switch {
+	case s.State == Ready && n.registry.Advice:
+		s.State, s.left = Dropped, n.now
+	case s.State != Dropped:
+		s.State = Gone
+	}
+}
+
+// doubt moves a dropped server's turns by steps: down to a part while it has not answered since, up again once it has
+// or is listed. It is forgotten when it has said nothing for long.
+func (n *Node) doubt(s *server) {
+	if s.State == Dropped && n.now-max(s.left, s.heard) > ForgetAfter {
+		s.State = Gone
+	}
+	if s.State == Dropped && s.heard < s.left {
+		s.trust = max(leastTrust, s.trust-trustStep)
+	} else {
+		s.trust = min(1, s.trust+trustStep)
+	}
+}
+
+// serves says that the list doesn't bar new pushes.
+func (s *server) serves() bool { return s.State == Ready || s.State == Dropped }
+
 // choose keeps the rotation to a run of the ids in order, which tell nothing. Danger: a node learns of no
 // server in a large fleet, and every node's connections fill a server's table. Runs start evenly apart, so
 // that all are used alike, and move by one from time to time. What is down is passed over while others last.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -66,6 +66,68 @@
 	s.compare()
 }
 
+var advised = RegistryRule{Advice: true}
+
+// Where only draining binds, a tier listed as gone goes on being served; one that is gone in truth is found out by its
+// own pushes; one that drained gets nothing, whatever the list says of it later.
+func TestGoneIsAdvice(t *testing.T) {
+	s := start(t, advised, untaxed, safe)
+	list := servers(4)
+	s.list(ListCached, list)
+	s.quiet("ten ops", func() { s.ops(10, 0, Acked) })
+	draining := []Entry{list[0]}
+	draining[0].State = Draining
+	s.list(ListChanges, draining)
+	for i := range list {
+		list[i].State = Gone
+	}
+	s.list(ListChanges, list)
+	s.quiet("all gone, 40 s", func() { s.ops(4000, 0, Acked) })
+	s.list(ListWhole, nil)
+	s.quiet("the list is empty, ten ops", func() { s.ops(10, 0, Acked) })
+	s.quiet("gone in truth, 40 s", func() {
+		for range 4000 {
+			s.play(0, func(ServerID) Outcome { return ConnectFailed })
+			s.wait(10 * Millisecond)
+		}
+	})
+	s.quiet("forgotten, ten ops", func() { s.ops(10, 0, Acked) })
+	s.list(ListWhole, servers(4)[1:])
+	s.quiet("listed again, 10 s", func() { s.ops(1000, 0, Acked) })
+	s.quiet("10 s later, ten ops", func() { s.ops(10, 0, Acked) })
+	s.compare()
+}
+
+// Danger: turns that move at a stroke jam the servers still listed. A dropped server that has not answered since the
+// list dropped it has a quarter of its turns within 2 s, and an answer gives them back as slowly.
+func TestDroppedBySteps(t *testing.T) {
+	s := start(t, advised, untaxed, safe)
+	list := servers(2)
+	s.list(ListCached, list)
+	list[1].State = Gone
+	s.list(ListChanges, list[1:])
+	last := s.node.servers[1].trust
+	for i := range 20 {
+		if i == 10 {
+			for range 8 {
+				s.play(0, func(ServerID) Outcome { return Acked })
+			}
+		}
+		s.wait(beat)
+		if now := s.node.servers[1].trust; now < last-trustStep || now > last+trustStep || (i < 10) != (now <= last) && now < 1 {
+			t.Errorf("beat %d: turns %v after %v", i, now, last)
+		} else {
+			last = now
+		}
+		if i == 9 && last != leastTrust {
+			t.Errorf("no answer for ten beats: %v of its turns", last)
+		}
+	}
+	if last != 1 {
+		t.Errorf("ten beats after its answer: %v of its turns", last)
+	}
+}
+
 func id(op OpID) string { return fmt.Sprint(op) }
 
 // inHand says that the last op still has a push out.
--- a/policy/types.go
+++ b/policy/types.go
@@ -82,6 +82,7 @@
 type RegistryRule struct {
 	Ask    bool   // changes come only to those who ask
 	Within Micros // a node that has not asked for this long counts as told
+	Advice bool   // gone is advice: only a server that has been listed as draining is barred
 }
 
 // ShareRule holds what each tenant may ask for, in ops a second over all nodes.
@@ -97,6 +98,7 @@
 	Ready ServerState = iota
 	Draining
 	Gone
+	Dropped // the module's own: listed as gone, without having drained, where that is advice
 )
 
 // Entry is one line of the list of servers. With xDS it is one endpoint, Cell its locality's cluster.
@@ -283,6 +285,8 @@
 	ended    Micros  // last end of a push
 	down     Micros  // no push before this
 	used     bool    // in this node's rotation
+	trust    float64 // share of its turns while the list has dropped it, or has just taken it back
+	left     Micros  // when the list dropped it
 	tried    uint64  // the round of pick that passed it over
 	part     tokens  // while cold: this node's part of what it can do
 }
