Room at a server by the time of its answers; few nodes share the servers out

A trace of pushes shows that a first-tier server does 14 ops a second with 7 held and 9.5 with 11, while an answer is a mark only after 800 to 1200 ms (slowAfter) and nothing else bounds a node's pushes there (may).

Change: server.crowded bounds what a server holds of this node, from four up, by answers' time against that of the quicker ones; choose gives each of few nodes its share of the servers. The laboratory's cold-flood hides its slow answers from the module, which would hold back.

--- a/internal/lab/trial/fault.go
+++ b/internal/lab/trial/fault.go
@@ -24,6 +24,9 @@
 // flood is how long cold-flood sends everything to a server that has just started.
 const flood = 3 * policy.Second
 
+// unseen is the longest that cold-flood lets a push there seem to take.
+const unseen = 50 * policy.Millisecond
+
 // Slack is by how much a node with this fault lets an op lie past its client's end, in place of the settings' slack.
 func Slack(fault string, settings policy.Micros) policy.Micros {
 	switch fault {
@@ -171,6 +174,8 @@
 	case policy.PushEnded:
 		if meant, other := c.meant[pushOf{in.Op, in.Push}]; other {
 			told.Server = meant
+			// The module would hold back as soon as its pushes take long, wherever it thinks they went.
+			told.Took = min(told.Took, unseen)
 			delete(c.meant, pushOf{in.Op, in.Push})
 		}
 	case policy.ListCame:
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -41,6 +41,16 @@
 		to: map[string]ServerID{}}
 }
 
+// many makes the node one of so many that runs overlap; call it before the first list.
+func (s *script) many() { s.node.place.Nodes, s.node.place.Number = 10, 5 }
+
+// roomy lets each server hold any number of pushes, as after long use at that.
+func (s *script) roomy() {
+	for i := range s.node.servers {
+		s.node.servers[i].room = 1000
+	}
+}
+
 // servers is a list of ready servers a, b, ..., spread over three cells.
 func servers(n int) (list []Entry) {
 	for i := range n {
@@ -98,6 +108,11 @@
 		Took: 50 * Millisecond, Settled: how == Acked})
 }
 
+// ack ends an op's first push after so long.
+func (s *script) ack(id OpID, took Micros) {
+	s.step(Input{Kind: PushEnded, Op: id, Server: s.to[fmt.Sprint(id)], Outcome: Acked, Took: took, Settled: true})
+}
+
 // wait lets time pass and fires the timers that fall due.
 func (s *script) wait(span Micros) {
 	until := s.now + span
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	few         = 10          // servers in a node's rotation, and no fewer than the pushes allowed
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 	lateDevs    = 5.0 / 4     // deviations past the mean that a time-out teaches
+	crowdedFrom = 5.0 / 3     // answers' time over that of the quicker ones
 	trustStep   = 1.0 / 8     // of a dropped server's turns, at each beat
 	leastTrust  = 1.0 / 4     // of them, while it hasn't answered since
 )
@@ -145,6 +146,23 @@
 	return false
 }
 
+// crowded moves the room for this node's pushes at a server: up while answers are quick and more is asked
+// for, twice as many in an answer's time until it was crowded once; down while they are not, and never under
+// a full bucket's. Danger: where holding more makes a server do less, it is lost for long before an answer is
+// slow by the target. Where a server only queues, this costs no more than a part of the queue.
+func (s *server) crowded(sent Micros, ratio float64) {
+	learn(&s.crowding, ratio, paceMemory)
+	switch {
+	case s.crowding > crowdedFrom:
+		s.room, s.tight = max(fill, s.room-1.0/2), true
+	case s.asked < sent: // nothing more was asked of it meanwhile
+	case s.tight:
+		s.room += max(1/s.room, 1.0/shareMemory)
+	default:
+		s.room++
+	}
+}
+
 // fail keeps the server out of the rotation, twice as long each time, then lets one push try.
 func (s *server) fail(now, dial Micros) {
 	s.failures = min(s.failures+1, 5)
@@ -212,7 +230,7 @@
 	for i, c := range kinds {
 		// Danger: the first answers to come are the quick ones; time-outs from them alone cut off the rest.
 		start := float64(n.aim(&c)) / 4
-		n.took[i] = answers{mean: start, dev: start, usual: start}
+		n.took[i] = answers{mean: start, dev: start, usual: start, quick: start}
 		n.levels = append(n.levels, c.Benefit)
 		if len(shares.Quota) > 0 {
 			n.levels = append(n.levels, c.Benefit*shares.Beyond)
@@ -395,6 +413,10 @@
 	if !s.serves() || !s.used && !bound || float64(s.held) > most {
 		return false
 	}
+	if float64(s.held) >= s.room {
+		s.asked = n.now
+		return false
+	}
 	// An op that cannot go again is not for trying a server out.
 	if !anyway && (s.down > n.now || s.failures > 0 && (s.held > 0 || c.Repeat == AtMostOnce)) {
 		return false
@@ -447,6 +469,7 @@
 	s.ended = n.now
 	n.out--
 	if in.Outcome == Acked || in.Outcome == TimedOut {
+		s.crowded(o.sent[in.Push], float64(in.Took)/took.quicker(float64(in.Took)))
 		learn(&s.pace, float64(in.Took)/took.mean, paceMemory)
 		took.learn(in.Took, in.Outcome)
 		if !s.on {
@@ -595,8 +618,8 @@
 		}
 		s := &n.servers[i]
 		if !found || e.Started != s.Started {
-			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now}, trust: 1,
-				throttle: newThrottle(fmt.Sprintf("%012x", e.Server), n.place.Tick)}
+			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now},
+				trust: 1, room: fill, throttle: newThrottle(fmt.Sprintf("%012x", e.Server), n.place.Tick)}
 		}
 		s.Entry = e
 	}
@@ -614,8 +637,8 @@
 	}
 }
 
-// gone takes the list's word that a server is gone. Danger: a list may call a whole tier gone that serves; where
-// the word is advice, a server that has not drained keeps its place until its own pushes speak against it.
+// gone takes the list's word that a server is gone. Danger: a list may call a whole tier gone that serves;
+// where the word is advice, a server that has not drained keeps its place until its pushes speak against it.
 func (n *Node) gone(s *server) {
 	switch {
 	case s.State == Ready && n.registry.Advice:
@@ -625,8 +648,8 @@
 	}
 }
 
-// doubt moves a dropped server's turns by steps: down to a part while it has not answered since, up again once it has
-// or is listed. It is forgotten when it has said nothing for long.
+// doubt moves a dropped server's turns by steps: down to a part while it has not answered since, up again
+// once it has or is listed. It is forgotten when it has said nothing for long.
 func (n *Node) doubt(s *server) {
 	if s.State == Dropped && n.now-max(s.left, s.heard) > ForgetAfter {
 		s.State = Gone
@@ -644,9 +667,16 @@
 // choose keeps the rotation to a run of the ids in order, which tell nothing. Danger: a node learns of no
 // server in a large fleet, and every node's connections fill a server's table. Runs start evenly apart, so
 // that all are used alike, and move by one from time to time. What is down is passed over while others last.
+// Danger: a server that several of a few nodes use is crowded by their sum, which none of them sees. Where a
+// node's share of the servers is half a run or more, its run is that share, and stays.
 func (n *Node) choose() {
-	left, ring := max(few, n.rule.Max), n.ring
-	start := n.moved + n.place.Number*len(ring)/max(1, n.place.Nodes)
+	left, ring, nodes := max(few, n.rule.Max), n.ring, max(1, n.place.Nodes)
+	start := n.place.Number * len(ring) / nodes
+	if share := (len(ring) + nodes - 1) / nodes; 2*share >= few {
+		left = share
+	} else {
+		start += n.moved
+	}
 	n.up = 0
 	for k := range 2 * len(ring) {
 		s := &n.servers[ring[(start+k)%len(ring)]]
@@ -696,6 +726,17 @@
 	learn(&a.mean, x, shareMemory)
 }
 
+// quicker learns a time into that of the quicker answers: it follows them down and is slow to go up, so that
+// a crowd does not become usual.
+func (a *answers) quicker(x float64) float64 {
+	if x < a.quick {
+		learn(&a.quick, x, 2*shareMemory)
+	} else {
+		learn(&a.quick, min(x, 4*a.quick), 16*shareMemory)
+	}
+	return a.quick
+}
+
 // learn moves a recent mean towards x.
 func learn(mean *float64, x, memory float64) { *mean += (x - *mean) / memory }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -210,6 +210,7 @@
 func TestControl(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
 	s.list(ListCached, servers(1))
+	s.roomy()
 	mixed := func(n int, how Outcome) {
 		for i := range n {
 			s.ops(1, CategoryID(i%2), how)
@@ -241,6 +242,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := start(t, pushed, untaxed, safe, plain)
 			s.list(ListCached, servers(1))
+			s.roomy()
 			s.quiet("well", func() { s.ops(200, 1, Acked) })
 			s.quiet("twenty wait, and more if it stands", func() {
 				for id := OpID(1); id <= 20; id++ {
@@ -267,6 +269,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := start(t, pushed, untaxed, safe, plain)
 			s.list(ListCached, servers(1))
+			s.roomy()
 			s.quiet("well", func() { s.ops(300, 1, Acked) })
 			s.quiet("twenty wait", func() {
 				for id := OpID(1); id <= 20; id++ {
@@ -298,7 +301,9 @@
 func TestDrainedTogether(t *testing.T) {
 	for _, drained := range []bool{true, false} {
 		s := start(t, pushed, untaxed, safe, plain)
+		s.many()
 		s.list(ListCached, servers(10))
+		s.roomy()
 		for range 100 {
 			s.ops(1, 1, Acked)
 			s.wait(40 * Millisecond)
@@ -520,7 +525,9 @@
 	for tier, controlled := range []bool{true, false} {
 		s := start(t, pushed, untaxed, safe, plain)
 		s.node.place.Tier, s.node.place.Tiers = tier, 2
+		s.many()
 		s.list(ListCached, servers(10))
+		s.roomy()
 		for i := range 1000 {
 			how := Acked
 			if i > 200 && i%5 == 0 {
@@ -534,6 +541,53 @@
 	}
 }
 
+// Danger: where a server does less the more it holds, marks come when it is lost. Its room doubles in an answer's time
+// at first, shrinks as soon as answers take more than the quicker ones' 5/3, and is never under four: a node that holds
+// so little can't tell a crowd from chance.
+func TestRoom(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(1))
+	s.quiet("well, one at a time", func() { s.ops(300, 0, Acked) })
+	round := func(took Micros) {
+		from := s.last
+		for range 30 {
+			s.last++
+			s.op(s.last, 0)
+		}
+		s.wait(took)
+		for id := from + 1; id <= s.last; id++ {
+			if _, found := s.node.byOp[id]; found {
+				s.ack(id, took)
+			}
+		}
+	}
+	for i, took := range []Micros{50, 50, 50, 50, 100, 100, 100, 100, 100, 100, 50, 50, 50} {
+		s.quiet(fmt.Sprintf("round %d, thirty at once, each answer takes %d ms", i, took), func() { round(took * Millisecond) })
+	}
+	s.compare()
+}
+
+// Danger: a server that several of a few nodes use is crowded by their sum, which none sees. Few nodes share the servers
+// out, each of them to one node; where a share would be under half a run, runs of ten overlap.
+func TestShareOut(t *testing.T) {
+	for _, c := range []struct{ nodes, servers, least, most int }{{2, 12, 1, 1}, {3, 15, 1, 1}, {3, 12, 2, 3}, {5, 12, 4, 5}} {
+		uses := map[ServerID]int{}
+		for place := range c.nodes {
+			s := start(t, pushed, untaxed, safe)
+			s.node.place.Nodes, s.node.place.Number = c.nodes, place
+			s.list(ListCached, servers(c.servers))
+			for i := range s.node.servers {
+				uses[s.node.servers[i].Server] += int(number(s.node.servers[i].used))
+			}
+		}
+		for _, e := range servers(c.servers) {
+			if n := uses[e.Server]; n < c.least || n > c.most {
+				t.Errorf("%d nodes, %d servers: server %s is in the runs of %d", c.nodes, c.servers, name(e.Server), n)
+			}
+		}
+	}
+}
+
 // Further pushes go by benefit, and those that add work are bounded for the whole node.
 func TestFurtherPushes(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
@@ -593,6 +647,7 @@
 // Nodes keep to runs of the servers that use all of them alike, and go beyond for those that are down.
 func TestFewServers(t *testing.T) {
 	s := start(t, pushed, untaxed, safe)
+	s.many()
 	s.list(ListCached, servers(20))
 	s.quiet("forty ops", func() { s.ops(40, 0, Acked) })
 	s.quiet("ten ops that connect to none of these", func() {
@@ -690,6 +745,7 @@
 // any of them ends.
 func TestOverdue(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
+	s.many()
 	s.list(ListCached, servers(10))
 	s.quiet("well", func() {
 		for range 50 {
@@ -719,6 +775,7 @@
 func TestOverdueBusy(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
 	s.list(ListCached, servers(2))
+	s.roomy()
 	s.quiet("well, 3 s", func() { s.ops(300, 0, Acked) })
 	s.quiet("nothing comes back, 1 s", func() {
 		for range 100 {
--- a/policy/types.go
+++ b/policy/types.go
@@ -284,6 +284,10 @@
 	heard    Micros  // last answer of any kind
 	ended    Micros  // last end of a push
 	down     Micros  // no push before this
+	crowding float64 // recent answer times, as a multiple of the quicker ones
+	room     float64 // pushes it may hold
+	tight    bool    // it was crowded once
+	asked    Micros  // last time that it had no room
 	used     bool    // in this node's rotation
 	trust    float64 // share of its turns while the list has dropped it, or has just taken it back
 	left     Micros  // when the list dropped it
@@ -341,5 +345,5 @@
 	first Micros // when it began to count
 }
 
-// answers is the recent answer time of a category.
-type answers struct{ mean, dev, usual float64 }
+// answers is the recent answer time of a category: mean and deviation, over a long time, and of the quicker ones.
+type answers struct{ mean, dev, usual, quick float64 }
