Errors that come at once from any server speak for their op; one place for the evidence

Change: Node.blame says what the end of a push is evidence of (load, server, op); an error within a sixteenth of the quicker answers' time speaks for its op, which is not pushed again. TestFailsAnywhere fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	againShare  = 1.0 / 8     // further pushes that may add work, a first push
 	lateDevs    = 5.0 / 4     // deviations past the mean that a time-out teaches
 	crowdedFrom = 5.0 / 3     // answers' time over that of the quicker ones
+	begunShare  = 1.0 / 16    // of their time: what fails sooner was not begun
 	trustStep   = 1.0 / 8     // of a dropped server's turns, at each beat
 	leastTrust  = 1.0 / 4     // of them, while it hasn't answered since
 )
@@ -111,39 +112,54 @@
 	return ""
 }
 
-// observe learns from the end of a push: marks, and the health of the server.
-func (s *server) observe(now, sent Micros, how Outcome, dial Micros, common, away *float64) (mark bool) {
+// observe keeps a server's recent answers.
+func (n *Node) observe(s *server, how Outcome) {
 	if how == Acked || how == Full {
 		learn(&s.away, number(how == Full), shareMemory)
-		learn(away, number(how == Full), 4*shareMemory)
+		learn(&n.away, number(how == Full), 4*shareMemory)
 	}
 	if how == Acked || how == Errored {
-		s.heard = now
+		s.heard = n.now
 		learn(&s.errors, number(how == Errored), shareMemory)
-		learn(common, number(how == Errored), 4*shareMemory)
+		learn(&n.errors, number(how == Errored), 4*shareMemory)
 	}
-	switch how {
-	case Acked:
+	if how == Acked {
 		s.failures = 0
-	case Full, TimedOut:
+	}
+}
+
+// blame says what the end of a push is evidence of; nothing else decides that.
+func (n *Node) blame(s *server, o *op, in *Input) blame {
+	switch in.Outcome {
+	case Full:
+		// Danger: a server that turns nearly all away, late, is fed by the rotation with what the cut lets pass.
+		if s.away > 1.0/2 && s.away > 2*n.away {
+			return onLoad | onServer
+		}
+		return onLoad
+	case TimedOut:
 		// Danger: a server that fell silent still looks free, and eats an op each turn.
-		// And one that turns nearly all away, late, is fed by the rotation with what the cut lets pass.
-		if how == TimedOut && s.heard < sent || how == Full && s.away > 1.0/2 && s.away > 2**away {
-			s.fail(now, dial)
+		if s.heard < o.sent[in.Push] {
+			return onLoad | onServer
 		}
-		return true
+		return onLoad
 	case ConnectFailed, Reset:
-		s.fail(now, dial)
+		return onServer
 	case Errored:
+		begun := float64(in.Took) >= n.took[o.category].quick*begunShare
+		switch {
 		// Danger: a server that fails fast, over half the time, holds little and is fed by the rotation.
-		if s.errors > 1.0/2 && s.errors > 2**common {
-			s.fail(now, dial)
-			return false
-		}
+		case s.errors > 1.0/2 && s.errors > 2*n.errors:
+			return onServer
 		// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
-		return *common > errorShare
+		case begun && n.errors > errorShare:
+			return onLoad
+		// Danger: ops that fail wherever they go look like that tier, and are pushed again and again.
+		case !begun && n.errors > errorShare && s.errors <= 2*n.errors:
+			return onOp
+		}
 	}
-	return false
+	return 0
 }
 
 // crowded moves the room for this node's pushes at a server: up while answers are quick and more is asked
@@ -491,7 +507,15 @@
 			n.slow(s, in.Took > n.slowAfter(o))
 		}
 	}
-	if s.observe(n.now, o.sent[in.Push], in.Outcome, n.rule.Dial, &n.errors, &n.away) && !marked {
+	n.observe(s, in.Outcome)
+	why := n.blame(s, o, in)
+	if why&onServer > 0 {
+		s.fail(n.now, n.rule.Dial)
+	}
+	if why&onOp > 0 {
+		o.allowed = o.pushes
+	}
+	if why&onLoad > 0 && !marked {
 		n.mark(s)
 	}
 	if s.down > n.now {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -588,6 +588,44 @@
 	}
 }
 
+// Danger: ops that fail at once wherever they go look like a full tier below. They cost one push each once an eighth of
+// all answers is such an error, start no control, and leave the others alone; what fails after work does start control.
+func TestFailsAnywhere(t *testing.T) {
+	for _, took := range []Micros{2 * Millisecond, 40 * Millisecond} {
+		s := start(t, pushed, untaxed, safe)
+		s.list(ListCached, servers(4))
+		pushes := 0
+		send := func(n int, how Outcome, took Micros) {
+			for range n {
+				s.last++
+				s.op(s.last, 0)
+				for s.inHand() {
+					pushes++
+					push := s.node.ops[s.node.byOp[s.last]].pushes - 1
+					s.step(Input{Kind: PushEnded, Op: s.last, Push: PushNo(push), Outcome: how, Took: took, Settled: how == Acked})
+				}
+				s.wait(10 * Millisecond)
+			}
+		}
+		send(200, Acked, 50*Millisecond)
+		for range 200 {
+			send(2, Acked, 50*Millisecond)
+			send(1, Errored, took)
+		}
+		on := s.node.all.on
+		for i := range s.node.servers {
+			on = on || s.node.servers[i].on
+		}
+		if begun := took > 10*Millisecond; on != begun {
+			t.Errorf("errors after %d us: control %v", took, on)
+		}
+		pushes = 0
+		if send(20, Errored, took); took < 10*Millisecond && pushes != 20 {
+			t.Errorf("twenty ops that fail at once: %d pushes", pushes)
+		}
+	}
+}
+
 // Further pushes go by benefit, and those that add work are bounded for the whole node.
 func TestFurtherPushes(t *testing.T) {
 	s := start(t, pushed, untaxed, safe, plain)
--- a/policy/types.go
+++ b/policy/types.go
@@ -227,6 +227,15 @@
 	leaves
 )
 
+// blame is what the end of a push is evidence of.
+type blame uint8
+
+const (
+	onLoad   blame = 1 << iota // more is sent than is borne: a mark
+	onServer                   // this one fails: it leaves the rotation for a while
+	onOp                       // it fails wherever it goes: no push again
+)
+
 // mostPushes is the places for an op's pushes.
 const mostPushes = 8
 
