Ops that kill the servers that begin them cost one push, and their repeats none

Change: Node.blame books a reset to the op as well where it came as the op began, or at a server that was well while another died within 10 s; errors after work while an eighth of all answers are errors likewise; repeats are nacked for 10 s after a reset.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -130,6 +130,7 @@
 
 // blame says what the end of a push is evidence of; nothing else decides that.
 func (n *Node) blame(s *server, o *op, in *Input) blame {
+	begun := float64(in.Took) >= n.took[o.category].quick*begunShare
 	switch in.Outcome {
 	case Full:
 		// Danger: a server that turns nearly all away, late, is fed by the rotation with what the cut lets pass.
@@ -143,17 +144,23 @@
 			return onLoad | onServer
 		}
 		return onLoad
-	case ConnectFailed, Reset:
+	case ConnectFailed:
+		return onServer
+	case Reset:
+		// Danger: an op that kills whatever server begins it kills one with each push.
+		again := s.failures == 0 && n.deadly()
+		if n.died = n.now; again || !begun {
+			return onServer | onOp
+		}
 		return onServer
 	case Errored:
-		begun := float64(in.Took) >= n.took[o.category].quick*begunShare
 		switch {
 		// Danger: a server that fails fast, over half the time, holds little and is fed by the rotation.
 		case s.errors > 1.0/2 && s.errors > 2*n.errors:
 			return onServer
-		// Danger: errors everywhere come from a full tier below, and this tier's work is lost.
+		// Danger: errors everywhere come from a tier below that is full, or dies of what it is sent again.
 		case begun && n.errors > errorShare:
-			return onLoad
+			return onLoad | onOp
 		// Danger: ops that fail wherever they go look like that tier, and are pushed again and again.
 		case !begun && n.errors > errorShare && s.errors <= 2*n.errors:
 			return onOp
@@ -162,6 +169,9 @@
 	return 0
 }
 
+// deadly says that a server died under a push not long ago, so that what comes again may be what killed it.
+func (n *Node) deadly() bool { return n.died > 0 && n.now-n.died < endAfter }
+
 // crowded moves the room for this node's pushes at a server: up while answers are quick and more is asked
 // for, twice as many in an answer's time until it was crowded once; down while they are not, and never under
 // a full bucket's. Danger: where holding more makes a server do less, it is lost for long before an answer is
@@ -315,6 +325,7 @@
 	*o = op{id: in.Op, category: in.Category, tenant: in.Tenant, place: p}
 	n.byOp[in.Op] = p
 	benefit := c.Benefit * n.share(in.Tenant)
+	o.suspect = in.Repeated && n.place.Tier == 0 && n.deadly()
 	o.level, _ = slices.BinarySearch(n.levels, benefit)
 	n.offered.add(n.now)
 	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*benefit/n.levels[len(n.levels)-1]))
@@ -345,7 +356,7 @@
 	c, took := &n.kinds[o.category], &n.took[o.category]
 	// Danger: time-outs learned while all is lost would say that every op comes too late, for ever.
 	least := min(Micros(took.mean-took.dev), c.Target/2)
-	if o.pushes >= o.allowed || n.now+max(0, least) > o.goal {
+	if o.suspect || o.pushes >= o.allowed || n.now+max(0, least) > o.goal {
 		return false
 	}
 	// Danger: further pushes that add work feed the overload that made them.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -626,6 +626,47 @@
 	}
 }
 
+// Danger: some ops kill whatever server begins them, with each push and each time their clients repeat them. What is reset
+// at once, or at a server that was well while another died within 10 s, costs one push; repeats are nacked for as long.
+// A server that dies alone takes none of the ops with it that it had long begun.
+func TestKills(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		took     Micros // of the push that is reset
+		before   Micros // a server died so long before; 0: none did
+		pushes   uint8
+		repeated bool
+	}{
+		{"begun, alone", 40 * Millisecond, 0, 2, false},
+		{"as it began", Millisecond, 0, 1, false},
+		{"begun, after another", 40 * Millisecond, 5 * Second, 1, false},
+		{"begun, long after another", 40 * Millisecond, 11 * Second, 2, false},
+		{"a repeat after a death", 0, 5 * Second, 0, true},
+		{"a repeat long after", 0, 11 * Second, 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := start(t, pushed, untaxed, safe)
+			s.list(ListCached, servers(4))
+			s.ops(300, 0, Acked)
+			if c.before > 0 {
+				s.op(1, 0)
+				s.end(1, 0, Reset)
+				s.end(1, 1, Acked)
+				s.wait(c.before - 2*Second)
+				s.ops(200, 0, Acked) // the dead one has answered again
+			}
+			s.step(Input{Kind: OpArrived, Op: 2, NotAfter: s.now + 2*Second, Repeated: c.repeated})
+			place, pushed := s.node.byOp[2]
+			if pushed && !c.repeated {
+				s.step(Input{Kind: PushEnded, Op: 2, Outcome: Reset, Took: c.took})
+			}
+			if got := s.node.ops[place].pushes; pushed && got != c.pushes || !pushed && c.pushes > 0 {
+				t.Errorf("%d pushes, want %d", got, c.pushes)
+			}
+		})
+	}
+}
+
 // Where a push to another zone costs benefit, the own zone's servers come first while they have room and are not under
 // control; with no such cost, turns are even. Control evens them out again, and a zone that is lost is passed over.
 func TestOwnZone(t *testing.T) {
