--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -29,6 +29,8 @@
 	NodeStart
 	NodeTerm
 	ClockStep // by Until, which may be negative
+	Way       // between Zone and the others: Until longer each way, Factor of what it carries lost
+	OneSided  // Factor of the pushes of half of the nodes to Server get no answer
 	Nothing   // but its text
 )
 
@@ -49,6 +51,7 @@
 	Verb   Verb
 	Server int // a place in Plan.Machines
 	Node   int // a place in Balancers
+	Zone   int
 	Factor float64
 	Until  policy.Micros
 	Mode   Mode
@@ -200,7 +203,15 @@
 		}
 	case "clock-step":
 		both(Step{Verb: ClockStep, Until: policy.Micros(t.Factor * float64(policy.Second))}, Step{Verb: ClockStep})
-	case "burst":
+	case "slow-way":
+		both(Step{Verb: Way, Zone: zone, Until: policy.Micros(t.Factor * float64(policy.Second)), Factor: t.Share}, Step{Verb: Way, Zone: zone})
+	case "one-sided":
+		hit := t
+		hit.Share = 0 // which servers: count; the share is of pushes
+		for _, i := range hit.hit(servers, rng) {
+			both(Step{Verb: OneSided, Server: i, Factor: t.Share}, Step{Verb: OneSided, Server: i})
+		}
+	case "burst", "failing", "poison":
 		// Its arrivals are made with the load.
 		step(Step{At: at, Verb: Nothing})
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -119,6 +119,8 @@
 	JamAfter   Span    `toml:"jam_after"`  // when they have waited so long
 	JamFactor  float64 `toml:"jam_factor"` // times slower
 	JamIdle    Span    `toml:"jam_idle"`   // mostly idle for so long ends it
+	CrowdOver  float64 `toml:"crowd_over"` // ops held per core over which it does less; 0: never
+	CrowdLoss  float64 `toml:"crowd_loss"` // times longer that an op takes, for each such number more
 	IdleClose  Span    `toml:"idle_close"` // a connection idle for so long is closed
 	LoadReport bool    `toml:"load_report"`
 }
@@ -140,6 +142,8 @@
 	ColdWindow  Span    `toml:"cold_window"`
 	Beyond      float64 `toml:"beyond_share_benefit"`
 	PassTTL     bool    `toml:"passes_deadline"` // a server's calls carry what is left of its op
+	GoneAdvice  bool    `toml:"gone_is_advice"`  // only what was listed as draining is barred
+	CrossZone   float64 `toml:"cross_zone_price"`
 }
 
 // Registry is how the list comes.
@@ -186,9 +190,16 @@
 	"list-lie":       "the servers are listed as gone although they serve; then they are listed again",
 	"node-crash":     "the nodes die, and start anew after the time with the list that they began with",
 	"node-restart":   "the nodes get SIGTERM, and start anew when they have ended",
+	"failing":        "further ops come, factor times the load (0.3 is three tenths), which every server answers 500 at once; of one tenant, if named",
+	"poison":         "further ops come, share of the load, which kill the server that begins them; it is back cold after factor seconds",
+	"slow-way":       "the way between the zone and the others takes factor seconds longer each way and loses the share of what it carries",
+	"one-sided":      "half of the first tier's nodes get no answer to a share of their pushes to the servers, which serve the others",
 	"clock-step":     "clients' clocks step: the time left that they send is factor seconds too long, or too short",
 }
 
+// SimulatedOnly are the kinds that are made in simulated time alone.
+var SimulatedOnly = []string{"failing", "poison", "slow-way", "one-sided"}
+
 // Expect is what must hold. A bound that is left out is not judged; the four rules always are.
 type Expect struct {
 	Served      *float64 `toml:"served_benefit"`       // at least, as a share of what was offered
@@ -431,6 +442,12 @@
 			sort.Strings(kinds)
 			among(at+"kind", t.Kind, kinds...)
 		}
+		if slices.Contains(SimulatedOnly, t.Kind) && s.Driver != "sim" {
+			bad(at+"kind", "%q is made in simulated time alone: driver = \"sim\"", t.Kind)
+		}
+		if t.Kind == "slow-way" && t.Zone == "" {
+			bad(at+"zone", "is missing: the way between it and the others")
+		}
 		if t.Zone != "" {
 			among(at+"zone", t.Zone, s.Zones...)
 		}
--- a/internal/lab/sim/balancer.go
+++ b/internal/lab/sim/balancer.go
@@ -238,7 +238,9 @@
 	}
 	f.to, f.arrival, f.try = r.servers[to], h.arrival, h.try
 	f.work, f.until = h.arrival.Work[b.Tier], r.now+p.For
-	r.at(r.now+r.hop(), func() { f.to.arrive(f) })
+	if way, lost := r.way(b, f.to); !lost {
+		r.at(r.now+r.hop()+way, func() { f.to.arrive(f) })
+	}
 }
 
 // Follow implements node.Servers: nothing is kept that a list would change.
--- a/internal/lab/sim/server.go
+++ b/internal/lab/sim/server.go
@@ -57,6 +57,26 @@
 	}
 }
 
+// die is what an op does to the server of a life that begins it. The registry notices late, as with other deaths.
+func (s *server) die(life, down policy.Micros) {
+	r := s.run
+	if !s.up || s.started != life {
+		return
+	}
+	s.crash()
+	r.at(r.now+policy.Second, func() {
+		if !s.up {
+			r.listed(s.place, policy.Gone)
+		}
+	})
+	r.at(r.now+down, func() {
+		if !s.up {
+			s.start()
+			r.listed(s.place, policy.Ready)
+		}
+	})
+}
+
 // connect takes a connection for a push, and says what it costs the server.
 func (s *server) connect(n *balancer) (price policy.Micros, room bool) {
 	kept := s.idle[n]
@@ -117,6 +137,10 @@
 		f.answer(policy.Full)
 		return
 	}
+	if f.arrival.Fails {
+		f.answer(policy.Errored)
+		return
+	}
 	key, category := r.account.KeyOf(f.try)
 	memory := r.memory(category, s.machine)
 	if memory != nil && memory.Repeat(r.now, keyText(key)) {
@@ -127,6 +151,9 @@
 	f.job = &fleet.Job{Work: f.work + price, Told: r.account.KnowsStart(f.node.place, s.place, s.started), Note: f}
 	switch got := s.model.Arrive(r.now, f.job); got {
 	case fleet.Taken:
+		if down := f.arrival.Kills; down > 0 && f.arrival.In == s.machine.Tier {
+			r.at(r.now+policy.Millisecond, func() { s.die(f.life, down) })
+		}
 	case fleet.Tips, fleet.TipsUnseen:
 		r.account.Tipped(s.place, got == fleet.Tips)
 		fallthrough
@@ -267,5 +294,8 @@
 		f.given = true // the connection is no more
 	}
 	f.to.disconnect(f)
-	f.node.run.at(f.node.run.now+f.node.run.hop(), func() { f.node.ended(f, how) })
+	r := f.node.run
+	if way, lost := r.way(f.node, f.to); !lost {
+		r.at(r.now+r.hop()+way, func() { f.node.ended(f, how) })
+	}
 }
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -83,6 +83,8 @@
 	byID     map[policy.ServerID]int
 	turn     int // of the front
 	step     policy.Micros
+	ways     []scenario.Step // by zone: what its way to the others does
+	hidden   []float64       // by server: share of the pushes of half of the nodes that is lost
 	err      error
 }
 
@@ -157,6 +159,21 @@
 	return r.Scenario.Network.Delay.Micros() + policy.Micros(r.rng.Float64()*float64(r.Scenario.Network.Jitter))
 }
 
+// way is what lies between a node and a server beyond the network's own time, and whether it loses what it carries now.
+func (r *run) way(b *balancer, s *server) (longer policy.Micros, lost bool) {
+	loss := 0.0
+	if b.Zone != s.machine.Zone {
+		for _, zone := range []int{b.Zone, s.machine.Zone} {
+			longer = max(longer, r.ways[zone].Until)
+			loss = max(loss, r.ways[zone].Factor)
+		}
+	}
+	if b.Tier == 0 && b.place%2 == 0 {
+		loss = max(loss, r.hidden[s.place])
+	}
+	return longer, loss > 0 && r.rng.Float64() < loss
+}
+
 // id is a server's, a hash as at real nodes, so that the module's order of servers is no order of ours.
 func id(place int) policy.ServerID {
 	h := fnv.New64a()
@@ -166,6 +183,7 @@
 
 func (r *run) build() {
 	s := r.Scenario
+	r.ways, r.hidden = make([]scenario.Step, len(s.Zones)), make([]float64, len(r.plan.Machines))
 	standing := make([][]registry.Entry, len(s.Tiers))
 	for i, m := range r.plan.Machines {
 		r.servers = append(r.servers, newServer(r, i, m, i < r.plan.Standing))
@@ -242,6 +260,10 @@
 		r.nodes[step.Node].terminate()
 	case scenario.ClockStep:
 		r.step = step.Until
+	case scenario.Way:
+		r.ways[step.Zone] = *step
+	case scenario.OneSided:
+		r.hidden[step.Server] = step.Factor
 	}
 }
 
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -21,6 +21,8 @@
 	JamAfter  policy.Micros
 	JamFactor float64
 	JamIdle   policy.Micros // mostly idle for so long ends the jam
+	CrowdOver float64       // jobs in hand per core over which each takes longer; 0: never
+	CrowdLoss float64       // times longer, for each such number more
 	Cold      Cold
 }
 
@@ -185,6 +187,9 @@
 		if s.jammed {
 			speed /= s.JamFactor
 		}
+		if most := s.CrowdOver * float64(s.Cores); most > 0 {
+			speed /= 1 + s.CrowdLoss*max(0, float64(len(s.running)+s.held+1+len(s.waiting))-most)/most
+		}
 		took := max(1, policy.Micros(float64(j.Work)/speed))
 		j.begun, j.running, j.ends = true, true, max(now, s.stalled)+took
 		s.busy += took
