canvaslab count: what all nodes of a fleet do together, from their logs

Need: the issue on fleet growth asks for a count over the fleet: calls for lists, dials and refused ones, pushes to cold, draining and gone servers, control, cuts by level, second pushes. Each had been counted by a script of its own and thrown away.

--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -37,6 +37,7 @@
 	Replay  replayCommand  `cmd:"" help:"Play an experiment's fleet and troubles with the arrivals of a trace."`
 	Up      upCommand      `cmd:"" help:"Start an experiment's fleet and nodes without a load, until interrupted."`
 	Table   tableCommand   `cmd:"" help:"Play experiments with the module and the baselines, and print a table in Markdown."`
+	Count   countCommand   `cmd:"" help:"Count over the logs of a whole fleet what all its nodes do together."`
 	Versus  versusCommand  `cmd:"" help:"Compare the node's throughput and delay with net/http's reverse proxy, in one run."`
 	Proxy   proxyCommand   `cmd:"" hidden:"" help:"Be a plain reverse proxy."`
 	Node    nodeCommand    `cmd:"" hidden:"" help:"Be a node of the laboratory; NODE_CONFIG names its configuration."`
