An old list that comes again does not make a cold server seem warm

Cause, by reading and a trace: Node.follow took any other start than the one held for a restart, also an earlier one, as a list from before has it; the server then counted as long warm and all nodes could push it over. Change: an earlier start is passed over. TestOldListAndGhosts fails without it (a second after its start, 1 warm); it holds ghosts to a push each until their next trial, too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -669,6 +669,10 @@
 			n.byID[e.Server] = i
 		}
 		s := &n.servers[i]
+		// Danger: an old list may come again, and would make a cold server seem warm.
+		if found {
+			e.Started = max(e.Started, s.Started)
+		}
 		if !found || e.Started != s.Started {
 			*s = server{held: s.held, turn: -n.rng.Float64(), part: tokens{n.rng.Float64(), n.now},
 				trust: 1, room: fill, throttle: newThrottle(fmt.Sprintf("%012x", e.Server), n.place.Tick)}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -98,6 +98,43 @@
 	s.compare()
 }
 
+// Danger: a list from before comes again and says that a cold server started long ago. It did not: what it may be sent
+// goes on being its part. A later start is believed. Servers that don't exist cost a push each until the next trial.
+func TestOldListAndGhosts(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	old := servers(3)
+	s.list(ListCached, old)
+	s.ops(300, 0, Acked)
+	now := servers(3)
+	now[2].Started = s.now
+	s.list(ListWhole, now)
+	s.list(ListWhole, old)
+	if w := s.node.servers[2].warmth(s.now+Second, &warming); w > 0.5 {
+		t.Errorf("a second after its start, and an old list, it is %v warm", w)
+	}
+	now[2].Started = s.now + 2*Second
+	s.wait(3 * Second)
+	s.list(ListWhole, now)
+	if got := s.node.servers[2].Started; got != now[2].Started {
+		t.Errorf("started at %d, held as %d", now[2].Started, got)
+	}
+	s.list(ListWhole, servers(5)) // the last two are ghosts
+	ghosts := 0
+	for range 400 {
+		s.play(0, func(to ServerID) Outcome {
+			if to > 3 {
+				ghosts++
+				return ConnectFailed
+			}
+			return Acked
+		})
+		s.wait(10 * Millisecond)
+	}
+	if ghosts < 2 || ghosts > 16 {
+		t.Errorf("400 ops in 4 s: %d pushes to two servers that don't exist", ghosts)
+	}
+}
+
 // Danger: turns that move at a stroke jam the servers still listed. A dropped server that has not answered since the
 // list dropped it has a quarter of its turns within 2 s, and an answer gives them back as slowly.
 func TestDroppedBySteps(t *testing.T) {
