--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net"
@@ -20,6 +21,8 @@
 	"canvasrouter/internal/lab/scenario"
 	"canvasrouter/internal/lab/sim"
 	"canvasrouter/internal/lab/trial"
+	"canvasrouter/internal/standin/fleet"
+	"canvasrouter/internal/standin/server"
 	experiments "canvasrouter/lab"
 	"canvasrouter/policy"
 )
@@ -214,6 +217,27 @@
 	}
 }
 
+// A run that is cancelled while it starts leaves nothing running, and a stand-in whose address is taken says so.
+func TestCancelledWhileStarting(t *testing.T) {
+	o := options(t, read(t, "steady"), "", policy.Second)
+	shell(t, &o, "exec sleep 30")
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	begun := time.Now()
+	if _, _, err := Run(ctx, o); !errors.Is(err, context.DeadlineExceeded) || time.Since(begun) > 20*time.Second {
+		t.Errorf("after %v: %v", time.Since(begun), err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	taken := server.New(3, &scenario.Kind{}, fleet.Traits{Cores: 1, Speed: 1}, l.Addr().String(), server.World{})
+	if err := taken.Up(false); err == nil || !strings.Contains(err.Error(), "server 3: ") || !strings.Contains(err.Error(), "already in use") {
+		t.Errorf("got %v", err)
+	}
+}
+
 // A wait says what it waited for.
 func TestAwait(t *testing.T) {
 	var group sync.WaitGroup
