One server that resets all it gets no longer holds back clients' repeats for ever

Cause, found on a last reading and shown by TestResetsAll: Node.blame dated a death at every reset, so a server that resets each trial push kept the ten seconds running, and all repeats nacked. Change: it counts only while the server was well; a field and a stale mark of near servers go.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -147,9 +147,14 @@
 	case ConnectFailed:
 		return onServer
 	case Reset:
-		// Danger: an op that kills whatever server begins it kills one with each push.
-		again := s.failures == 0 && n.deadly()
-		if n.died = n.now; again || !begun {
+		// Danger: an op that kills whatever server begins it kills one with each push. But one server that
+		// resets all it gets would hold back repeats for ever; it counts only while it was well.
+		well := s.failures == 0
+		again := well && n.deadly()
+		if well {
+			n.died = n.now
+		}
+		if again || !begun {
 			return onServer | onOp
 		}
 		return onServer
@@ -681,7 +686,8 @@
 	}
 	n.ring = n.ring[:0]
 	for i := range n.servers {
-		if n.servers[i].used = false; n.servers[i].serves() {
+		n.servers[i].used, n.servers[i].near = false, false
+		if n.servers[i].serves() {
 			n.ring = append(n.ring, int32(i))
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -704,6 +704,19 @@
 	}
 }
 
+// Danger: one server that resets all it gets would have clients' repeats nacked for ever.
+func TestResetsAll(t *testing.T) {
+	s := start(t, pushed, untaxed, safe)
+	s.list(ListCached, servers(4))
+	for range 3000 {
+		s.play(0, func(to ServerID) Outcome { return map[bool]Outcome{true: Reset, false: Acked}[to == 1] })
+		s.wait(10 * Millisecond)
+	}
+	if s.node.deadly() {
+		t.Error("30 s of one bad server, and repeats are still nacked")
+	}
+}
+
 // Where a push to another zone costs benefit, the own zone's servers come first while they have room and are not under
 // control; with no such cost, turns are even. Control evens them out again, and a zone that is lost is passed over.
 func TestOwnZone(t *testing.T) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -253,7 +253,6 @@
 	risk                 Micros // send time of the first push that may have run; 0: none
 	zone                 ZoneID // of the server it may have run at
 	cell                 CellID
-	erred                uint8
 	suspect              bool              // a client's repeat while servers die of what they are sent
 	late                 uint8             // bit of each push that was slow while out
 	to                   [mostPushes]int32 // server of each push still out, or -1
@@ -343,7 +342,7 @@
 	full      bool     // a server here turns ops away
 	all       throttle // of all servers together, while each is too quiet to be seen
 	up, out   float64  // servers in the rotation that are not down; pushes out
-	died      Micros   // when a push was last reset
+	died      Micros   // when a push was last reset by a server that had been well
 	crowd     float64  // the most that were out at a mark, while all are under control
 	ring      []int32  // ready servers by id
 	moved     int      // exchanges so far
