The rig: a relay between processes, faults on their ways and on the processes themselves

Need: what many processes do together can only be shown by processes whose ways to each other are cut. What the rig itself was late with is measured by a timer of its own and by the relay, and past the ledger's tolerance makes a run void; a node that was stopped counts as told when it goes on.

Nodes don't talk yet.

--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -76,6 +76,7 @@
 
 type listCommand struct {
 	Troubles bool `help:"The kinds of trouble."`
+	Between  bool `help:"The kinds of fault between nodes."`
 	Faults   bool `help:"The faults for --break, and the rule that each breaks."`
 }
 
@@ -93,6 +94,8 @@
 	switch {
 	case l.Troubles:
 		show(scenario.TroubleKinds)
+	case l.Between:
+		show(scenario.BetweenKinds)
 	case l.Faults:
 		show(trial.Faults)
 	default:
@@ -138,11 +141,13 @@
 	Report string `help:"Write a page with plots, baselines beside it." placeholder:"DIR"`
 	Bare   bool   `help:"Leave the baselines out of the report."`
 	Listen string `help:"Address of the first node." placeholder:"ADDR"`
+	Nodes  int    `help:"Nodes of the first tier in place of the experiment's." placeholder:"N"`
+	Alone  bool   `help:"Nodes don't hear each other, whatever the experiment says."`
 }
 
 func (r *runCommand) wanted() lab.Choice {
 	return lab.Choice{Name: r.Name, Short: r.Short, Seed: r.Seed, Driver: r.Driver, Policy: r.Policy, Fault: r.Break,
-		Node: r.Node, Trace: r.Trace, Listen: r.Listen, Self: self()}
+		Node: r.Node, Trace: r.Trace, Listen: r.Listen, Nodes: r.Nodes, Alone: r.Alone, Self: self()}
 }
 
 func (r *runCommand) Run(ctx context.Context) error {
@@ -225,6 +230,10 @@
 		r.Nacked, r.DeadLettered, r.Left, r.ServedBenefit)
 	fmt.Fprintf(w, "  p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f pushes an op; wasted work %.3f\n", r.P50Ms, r.P99Ms,
 		r.P999Ms, r.PushesPerOp, r.Wasted)
+	if t := r.Between; t != nil {
+		fmt.Fprintf(w, "  between nodes: %.0f bytes and %.1f datagrams a node and second, the busiest node %.0f bytes; rig late %.1f ms\n", t.Bytes,
+			t.Datagrams, t.MostBytes, r.RigLateMs)
+	}
 	if len(r.BrokenRules) == 0 {
 		fmt.Fprintln(w, "  the four rules hold")
 	} else {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -31,6 +31,8 @@
 	Node   string // a node's program in place of this one's own; live only
 	Trace  string // of arrivals, in place of the experiment's load
 	Listen string // of the first node; live only
+	Nodes  int    // of the first tier, in place of the experiment's; 0: those
+	Alone  bool   // nodes don't hear each other, whatever the experiment says
 	Self   string // this program, which is a node with the argument "node"
 }
 
@@ -63,6 +65,12 @@
 	add("break", c.Fault)
 	add("node", c.Node)
 	add("trace", c.Trace)
+	if c.Nodes > 0 {
+		add("nodes", fmt.Sprint(c.Nodes))
+	}
+	if c.Alone {
+		out += " --alone"
+	}
 	return out
 }
 
@@ -112,6 +120,12 @@
 // Play plays an experiment and judges it. When ctx is done before the end the result is partial, and nothing but the
 // rules is judged.
 func Play(ctx context.Context, s *scenario.Scenario, c Choice, tick Tick) (*ledger.Result, error) {
+	if c.Nodes > 0 {
+		s.Tiers[0].Nodes = c.Nodes
+	}
+	if c.Alone && s.Fleet != nil {
+		s.Fleet = &scenario.Fleet{}
+	}
 	length := c.length(s)
 	arrivals, err := c.Arrivals(s, length)
 	if err != nil {
--- a/internal/lab/ledger/ledger_test.go
+++ b/internal/lab/ledger/ledger_test.go
@@ -74,6 +74,25 @@
 			op := a.Offer(900*msec, slots, -1, 0)
 			a.End(a.Try(op, 0, 900*msec, 1100*msec), 1500*msec, Unanswered)
 		}, []string{"answer"}},
+		"held by a node that was stopped": {func(a *Account) {
+			_, x := try(a, slots)
+			a.Paused(0, true, 10*msec)
+			a.End(x, 500*msec, Unanswered)
+			a.Paused(0, false, 900*msec)
+		}, []string{}},
+		"sent after its node went on": {func(a *Account) {
+			a.Paused(0, true, 0)
+			a.Paused(0, false, 100*msec)
+			op := a.Offer(900*msec, slots, -1, 0)
+			a.End(a.Try(op, 0, 900*msec, 1100*msec), 1500*msec, Unanswered)
+		}, []string{"answer"}},
+		"drained while its node was stopped": {func(a *Account) {
+			a.Paused(0, true, 0)
+			a.Told(0, 3, policy.Draining, 0, 10*msec)
+			a.Paused(0, false, 4000*msec)
+			op := a.Offer(4000*msec, slots, -1, 0)
+			a.Push(a.Try(op, 0, 4000*msec, 4200*msec), 3, 4100*msec)
+		}, []string{}},
 		"just in time":         {func(a *Account) { _, x := try(a, slots); a.End(x, 270*msec, Failed) }, []string{}},
 		"late":                 {func(a *Account) { _, x := try(a, slots); a.End(x, 271*msec, Failed) }, []string{"answer"}},
 		"client left":          {func(a *Account) { _, x := try(a, slots); a.End(x, 50*msec, Left) }, []string{}},
--- a/internal/lab/ledger/result.go
+++ b/internal/lab/ledger/result.go
@@ -30,6 +30,9 @@
 	Left           int        `json:"left"` // the client went first
 	Unanswered     int        `json:"unanswered"`
 	LostToCrash    int        `json:"lost_to_crash"` // tries that a node held when it died
+	LostToPause    int        `json:"lost_to_pause"` // tries that a node held while its process was stopped
+	RigLateMs      float64    `json:"rig_late_ms"`   // the most that the rig itself was late
+	Between        *Traffic   `json:"between,omitempty"`
 	DoubleAnswers  int        `json:"double_answers"`
 	DoubleEffects  int        `json:"double_effects"`
 	FalseNacks     int        `json:"false_nacks"`
@@ -58,6 +61,15 @@
 	Failures       []string   `json:"failed_expectations"`
 }
 
+// Traffic is what nodes said to each other, as the relay counted it: a node and second, mean and the busiest node's.
+type Traffic struct {
+	Bytes         float64 `json:"bytes_a_node_and_second"`
+	MostBytes     float64 `json:"most_bytes_a_second"`
+	Datagrams     float64 `json:"datagrams_a_node_and_second"`
+	Streams       float64 `json:"streams_a_node_and_second"`
+	StreamedBytes float64 `json:"streamed_bytes_a_node_and_second"`
+}
+
 // Kind is one category's part.
 type Kind struct {
 	Name          string  `json:"name"`
@@ -134,6 +146,8 @@
 		case t.verdict == Open, t.verdict == Unanswered, t.verdict == Broken:
 			if a.died(t) {
 				r.LostToCrash++
+			} else if a.stopped(t, t.notAfter) {
+				r.LostToPause++
 			} else if t.verdict != Open || !inner {
 				r.Unanswered++
 				a.note(say("try %d to node %d got no answer", i, t.node))
--- /dev/null
+++ b/internal/lab/live/together_test.go
@@ -0,0 +1,62 @@
+package live
+
+import (
+	"strings"
+	"testing"
+
+	"canvasrouter/internal/lab/ledger"
+	"canvasrouter/internal/lab/scenario"
+	"canvasrouter/policy"
+)
+
+// sound plays until the rig itself was in time. Danger: a machine too busy would look like a node at fault.
+func sound(t *testing.T, o Options) *ledger.Result {
+	t.Helper()
+	for range 3 {
+		r, _, err := Run(t.Context(), o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Void == "" {
+			return r
+		}
+		t.Log(r.Void)
+	}
+	t.Fatal("three runs were void")
+	return nil
+}
+
+const second = scenario.Span(policy.Second)
+
+// Processes that are stopped and go on, die and come back with no list, or at another address, and second ones under a
+// name, with the ways between them cut: the rules hold at each node, and what a stopped one could not answer is its own.
+func TestProcessFaults(t *testing.T) {
+	t.Parallel()
+	s := read(t, "fleet-pause")
+	s.Tiers[0].Nodes = 6
+	s.Load.Rate = 120
+	s.Troubles = []scenario.Trouble{
+		{Kind: "node-pause", At: second, For: 2 * second, Count: 1, Tier: "front"},
+		{Kind: "node-empty", At: second, For: second, Count: 1, Tier: "front"},
+		{Kind: "node-move", At: 2 * second, For: second / 2, Count: 1, Tier: "front"},
+		{Kind: "node-twin", At: second / 2, For: 3 * second, Count: 2, Tier: "front"},
+		{Kind: "drain", At: second * 3 / 2, For: second, Count: 1, Tier: "front"},
+	}
+	s.Between = []scenario.Between{{Kind: "groups", At: second, For: 2 * second, Parts: []int{1, 2}}}
+	r := sound(t, options(t, s, "", 5*policy.Second))
+	if len(r.BrokenRules) > 0 || r.LostToPause == 0 || r.LostToCrash == 0 || r.Served < r.Ops*2/3 {
+		t.Errorf("broken %v, lost to a pause %d and to deaths %d, served %d of %d: %s", r.BrokenRules, r.LostToPause, r.LostToCrash,
+			r.Served, r.Ops, strings.Join(r.Breaches, "; "))
+	}
+}
+
+// Servers that are bad for half of the nodes only leave the rules whole, and the other half's ops served.
+func TestOneSided(t *testing.T) {
+	t.Parallel()
+	s := read(t, "fleet-partial")
+	s.Tiers[0].Nodes = 6
+	r := sound(t, options(t, s, "", 4*policy.Second))
+	if len(r.BrokenRules) > 0 || r.PushesPerOp < 1.01 {
+		t.Errorf("broken %v, %v pushes an op", r.BrokenRules, r.PushesPerOp)
+	}
+}
--- a/internal/lab/live/troubles.go
+++ b/internal/lab/live/troubles.go
@@ -79,11 +79,54 @@
 		beside.Go(func() { check(r.nodes[step.Node].start(ctx)) })
 	case scenario.NodeTerm:
 		beside.Go(func() { check(r.nodes[step.Node].restart(ctx)) })
+	case scenario.NodeStop, scenario.NodeGoOn:
+		r.nodes[step.Node].stop(step.Verb == scenario.NodeStop)
+	case scenario.NodeEmpty:
+		n := r.nodes[step.Node]
+		n.known = nil
+		beside.Go(func() { check(n.start(ctx)) })
+	case scenario.NodeMove:
+		n := r.nodes[step.Node]
+		next, err := r.rig.Further(n.beside)
+		check(err)
+		n.beside = next
+		beside.Go(func() { check(n.start(ctx)) })
+	case scenario.TwinStart:
+		twin, err := r.twin(step.Node)
+		check(err)
+		beside.Go(func() { check(twin.start(ctx)) })
+	case scenario.TwinEnd:
+		if twin := r.twins[step.Node]; twin != nil {
+			check(twin.kill())
+		}
+	case scenario.BetweenOn, scenario.BetweenOff:
+		r.rig.Carry(step)
+	case scenario.OneSided:
+		s.Ignore(step.Factor, r.odd)
 	case scenario.ClockStep:
 		r.step.Store(int64(step.Until))
 	}
 }
 
+// twin is a second process of a node's name, number and configuration, at other addresses. No client comes to it.
+func (r *run) twin(node int) (*balancer, error) {
+	of := r.nodes[node]
+	next, err := r.rig.Further(of.beside)
+	if err != nil {
+		return nil, err
+	}
+	twin := &balancer{Balancer: of.Balancer, run: r, place: of.place, door: &door{addr: r.ports.addr()}, discovery: of.discovery,
+		known: of.known, beside: next, hears: of.hears, second: true}
+	r.twins[node] = twin
+	return twin, nil
+}
+
+// odd is the half of the first tier's nodes that a one-sided trouble hits.
+func (r *run) odd(try ledger.TryID) bool {
+	node, known := r.account.NodeOf(try)
+	return known && r.nodes[node].Tier == 0 && r.nodes[node].Number%2 == 1
+}
+
 func (r *run) disturb(service *registry.Service, step *scenario.Step) {
 	switch step.Verb {
 	case scenario.RegistryDown, scenario.RegistryUp:
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -56,6 +56,8 @@
 	Limits     Limits     `toml:"limits"`
 	Registry   Registry   `toml:"registry"`
 	Network    Network    `toml:"network"`
+	Fleet      *Fleet     `toml:"fleet"` // left out: nodes don't hear each other
+	Between    []Between  `toml:"between"`
 	Troubles   []Trouble  `toml:"trouble"`
 	Expect     Expect     `toml:"expect"`
 }
@@ -157,6 +159,41 @@
 	Jitter Span `toml:"jitter"` // more, evenly spread
 }
 
+// Fleet says that nodes of the first tier hear each other.
+type Fleet struct {
+	Share float64 `toml:"share"` // of the nodes that do; left out: all
+	Peers bool    `toml:"peers"` // the module may use words of others (limits.peers)
+}
+
+// Between is a fault on the ways between the first tier's nodes, on sockets.
+type Between struct {
+	Kind   string  `toml:"kind"`
+	At     Span    `toml:"at"`
+	For    Span    `toml:"for"`   // left out: to the end
+	Count  int     `toml:"count"` // nodes hit; 0 with no share: all
+	Share  float64 `toml:"share"`
+	Parts  []int   `toml:"parts"`  // of groups and of a chain: their sizes, as weights
+	Factor float64 `toml:"factor"` // a share of what passes, or seconds
+	Every  Span    `toml:"every"`  // of flap
+}
+
+// BetweenKinds are the kinds of fault between nodes and what each does.
+var BetweenKinds = map[string]string{
+	"groups":  "the nodes fall into groups, parts of all, that each hear only themselves",
+	"chain":   "the nodes fall into groups, parts of all, that each hear themselves and the next one on either side",
+	"cut":     "the nodes hear nobody and nobody hears them",
+	"deaf":    "the nodes hear nobody; the others hear them",
+	"dumb":    "nobody hears the nodes; they hear the others",
+	"loss":    "the share in factor of all datagrams to and from the nodes is lost",
+	"slow":    "all to and from the nodes comes factor seconds later, and up to as much again",
+	"double":  "the share in factor of all datagrams to and from the nodes comes twice",
+	"reorder": "the share in factor of all datagrams to and from the nodes comes after the next ones",
+	"spoil":   "the share in factor of all datagrams and pieces of streams to and from the nodes has a byte changed",
+	"short":   "the share in factor of all datagrams to and from the nodes is cut short; so are streams",
+	"silent":  "streams to the nodes are accepted and never answered; datagrams pass",
+	"flap":    "the ways to and from the nodes are up and down by turns, each for the time in every",
+}
+
 // Trouble is one thing that goes wrong, or is done on purpose.
 type Trouble struct {
 	Kind   string  `toml:"kind"`
@@ -193,11 +230,18 @@
 	"poison":         "further ops come, share of the load, which kill the server that begins them; it is back cold after factor seconds",
 	"slow-way":       "the way between the zone and the others takes factor seconds longer each way and loses the share of what it carries",
 	"one-sided":      "half of the first tier's nodes get no answer to a share of their pushes to the servers, which serve the others",
+	"node-pause":     "the nodes are stopped (SIGSTOP), and go on after the time",
+	"node-empty":     "the nodes die, and start anew after the time with no list at all",
+	"node-move":      "the nodes die, and start anew after the time under their names at other addresses for nodes",
+	"node-twin":      "a second process starts under each node's name and number, at other addresses; it ends after the time",
 	"clock-step":     "clients' clocks step: the time left that they send is factor seconds too long, or too short",
 }
 
 // SimulatedOnly are the kinds that are made in simulated time alone.
-var SimulatedOnly = []string{"failing", "poison", "slow-way", "one-sided"}
+var SimulatedOnly = []string{"failing", "poison", "slow-way"}
+
+// LiveOnly are the kinds that need processes.
+var LiveOnly = []string{"node-pause", "node-empty", "node-move", "node-twin"}
 
 // Expect is what must hold. A bound that is left out is not judged; the four rules always are.
 type Expect struct {
@@ -332,6 +376,14 @@
 	orElse(&s.Registry.Delay, 100*ms)
 	orElse(&s.Network.Delay, ms/5)
 	orElse(&s.Network.Jitter, ms/10)
+	if s.Fleet != nil {
+		orElse(&s.Fleet.Share, 1)
+	}
+	for i := range s.Between {
+		b := &s.Between[i]
+		orElse(&b.Every, 300*ms)
+		orElse(&b.Factor, 0.2)
+	}
 	for i := range s.Troubles {
 		t := &s.Troubles[i]
 		orElse(&t.Factor, 3)
@@ -433,6 +485,9 @@
 	}
 	for i, t := range s.Troubles {
 		at := fmt.Sprintf("trouble.%d.", i)
+		if (t.Kind == "node-move" || t.Kind == "node-twin") && s.Fleet == nil {
+			bad(at+"kind", "there is no [fleet]: a node has no address for nodes")
+		}
 		if TroubleKinds[t.Kind] == "" {
 			kinds := make([]string, 0, len(TroubleKinds))
 			for k := range TroubleKinds {
@@ -444,6 +499,9 @@
 		if slices.Contains(SimulatedOnly, t.Kind) && s.Driver != "sim" {
 			bad(at+"kind", "%q is made in simulated time alone: driver = \"sim\"", t.Kind)
 		}
+		if slices.Contains(LiveOnly, t.Kind) && s.Driver != "live" {
+			bad(at+"kind", "%q needs processes: driver = \"live\"", t.Kind)
+		}
 		if t.Kind == "slow-way" && t.Zone == "" {
 			bad(at+"zone", "is missing: the way between it and the others")
 		}
@@ -463,12 +521,44 @@
 			bad(at+"tenant", "%q is no tenant", t.Tenant)
 		}
 	}
+	s.checkBetween(bad)
 	if c := s.Expect.Category; c != nil && !slices.ContainsFunc(s.Categories, func(x Category) bool { return x.Name == c.Name }) {
 		bad("expect.category.name", "%q is no category", c.Name)
 	}
 	return key, problem
 }
 
+func (s *Scenario) checkBetween(bad func(key, format string, args ...any)) {
+	if s.Fleet != nil && (s.Fleet.Share < 0 || s.Fleet.Share > 1) {
+		bad("fleet.share", "%v is not from 0 to 1", s.Fleet.Share)
+	}
+	for i, b := range s.Between {
+		at := fmt.Sprintf("between.%d.", i)
+		total := 0
+		for _, part := range b.Parts {
+			if total += part; part < 1 {
+				bad(at+"parts", "%d is not above 0", part)
+			}
+		}
+		switch {
+		case BetweenKinds[b.Kind] == "":
+			bad(at+"kind", "%q is no fault between nodes", b.Kind)
+		case s.Fleet == nil:
+			bad(at+"kind", "there is no [fleet]: nodes say nothing to each other")
+		case s.Driver != "live":
+			bad(at+"kind", "faults between nodes need processes: driver = \"live\"")
+		case (b.Kind == "groups" || b.Kind == "chain") && len(b.Parts) < 2:
+			bad(at+"parts", "there must be two or more")
+		case b.Share < 0 || b.Share > 1 || b.Count < 0:
+			bad(at+"share", "%v is not from 0 to 1, or count is negative", b.Share)
+		case b.Kind != "slow" && b.Factor > 1 || b.Factor < 0:
+			bad(at+"factor", "%v is not from 0 to 1", b.Factor)
+		case b.Kind == "flap" && b.Every < 10*ms:
+			bad(at+"every", "%v ms is under 10 ms", b.Every.Ms())
+		}
+	}
+}
+
 // Tier gives the place of a tier, or -1.
 func (s *Scenario) Tier(name string) int {
 	return slices.IndexFunc(s.Tiers, func(t Tier) bool { return t.Name == name })
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -304,7 +304,7 @@
 
 // options are a node's own, from the configuration that a real one would get.
 func (r *run) options(b scenario.Balancer) (*config.Config, int, error) {
-	c, err := config.Parse(r.Scenario.Config(b, "n", "127.0.0.1:1", "127.0.0.1:1", r.Seed, nil), func(string) string { return "" })
+	c, err := config.Parse(r.Scenario.Config(b, "n", "127.0.0.1:1", "127.0.0.1:1", r.Seed, nil, nil), func(string) string { return "" })
 	if err != nil {
 		return nil, 0, err
 	}
--- /dev/null
+++ b/internal/lab/together/together_test.go
@@ -0,0 +1,62 @@
+package together
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"canvasrouter/internal/lab/scenario"
+	"canvasrouter/internal/standin/relay"
+)
+
+// Whom a fault hits, and in which direction, is as its kind says; a place beyond the nodes' own goes with its node.
+func TestWays(t *testing.T) {
+	const nodes = 30
+	count := func(b scenario.Between) (cut int, apart [3]bool) {
+		ways := Ways(&b, nodes, rand.New(rand.NewPCG(1, 2)))
+		for from := range nodes {
+			for to := range nodes {
+				w := ways(from, to)
+				if w != (relay.Way{}) {
+					cut++
+				}
+				if w != ways(from+nodes, to) || w != ways(from, to+nodes) {
+					t.Fatalf("%s: a further place of %d or %d has another way", b.Kind, from, to)
+				}
+			}
+		}
+		return cut, apart
+	}
+	for _, c := range []struct {
+		fault scenario.Between
+		want  int // directed pairs
+	}{
+		{scenario.Between{Kind: "groups", Parts: []int{1, 2}}, 2 * 10 * 20},
+		{scenario.Between{Kind: "groups", Parts: []int{5, 15, 20}}, 30*30 - 4*4 - 11*11 - 15*15},
+		{scenario.Between{Kind: "chain", Parts: []int{1, 1, 1}}, 2 * 10 * 10},
+		{scenario.Between{Kind: "cut", Count: 1}, 2 * 29},
+		{scenario.Between{Kind: "deaf", Count: 10}, 10 * 29},
+		{scenario.Between{Kind: "dumb", Share: 1.0 / 3}, 10 * 29},
+		{scenario.Between{Kind: "loss", Factor: 0.2}, 30 * 29},
+		{scenario.Between{Kind: "slow", Factor: 0.2, Count: 1}, 2 * 29},
+	} {
+		if got, _ := count(c.fault); got != c.want {
+			t.Errorf("%+v: acts on %d pairs, not %d", c.fault, got, c.want)
+		}
+	}
+	slow := Ways(&scenario.Between{Kind: "slow", Factor: 0.2}, 2, rand.New(rand.NewPCG(1, 2)))(0, 1)
+	if slow.Delay != 200*time.Millisecond || slow.Jitter != slow.Delay {
+		t.Errorf("slow: %+v", slow)
+	}
+}
+
+// What the rig is late with is seen.
+func TestLag(t *testing.T) {
+	l := NewLag()
+	l.book(40 * time.Millisecond)
+	l.Begin()
+	l.book(70 * time.Millisecond)
+	if most, _ := l.End(); most != 70*time.Millisecond {
+		t.Errorf("most %v", most)
+	}
+}
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,6 +58,9 @@
 	started  policy.Micros
 	conns    map[net.Conn]bool // open ones, and whether each is one too many
 	cut      int               // bytes of the next answer that is reset
+	ignored  float64           // share of the pushes of whom ignores that get no answer
+	ignores  func(ledger.TryID) bool
+	rng      *rand.Rand
 }
 
 // New makes a server that is not up yet.
@@ -154,6 +158,23 @@
 
 func (s *Server) Behave(mode scenario.Mode) { s.mu.Lock(); defer s.mu.Unlock(); s.mode = mode }
 
+// Ignore lets a share of the pushes that come by some nodes go without an answer; they don't run. 0 ends it.
+func (s *Server) Ignore(share float64, of func(ledger.TryID) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ignored, s.ignores = share, of
+	if s.rng == nil {
+		s.rng = rand.New(rand.NewPCG(uint64(s.place), 1))
+	}
+}
+
+// ignoring says whether a push gets no answer.
+func (s *Server) ignoring(try ledger.TryID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ignored > 0 && s.ignores(try) && s.rng.Float64() < s.ignored
+}
+
 // visit is one push at the server.
 type visit struct {
 	done chan struct{} // its own work is over
@@ -237,6 +258,13 @@
 		node, _ := a.NodeOf(try)
 		told = a.KnowsStart(node, s.place, s.Started())
 	}
+	if s.ignoring(try) {
+		select {
+		case <-r.Context().Done():
+		case <-life:
+		}
+		abort(w)
+	}
 	s.mu.Lock()
 	mode := s.mode
 	full := false
