--- a/cmd/canvasrouter/commands.go
+++ b/cmd/canvasrouter/commands.go
@@ -17,6 +17,7 @@
 	Serve   serveCommand   `cmd:"" help:"Run a node until SIGTERM, as the program does without arguments."`
 	Check   checkCommand   `cmd:"" help:"Read a configuration and say what is wrong with it."`
 	Explain explainCommand `cmd:"" help:"Say in words what a configuration means."`
+	Fleet   fleetCommand   `cmd:"" help:"Print what a running node knows of the others, by its own socket (fleet.control)."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,8 +44,9 @@
 	AnswerSlack policy.Micros // past a client's wait, in which a final answer still counts
 	Unheeded    []string      // settings that earlier versions heeded, given here
 	IdleClose   time.Duration // a server closes a connection that was idle for this long
+	Fleet       *Fleet        // nil: the node hears nobody
 
-	settings json.RawMessage
+	settings, fleet json.RawMessage
 }
 
 // Fixed names the keys that differ in next and can't change while the node runs. Discovery, log_level and settings
@@ -78,6 +79,13 @@
 // SameSettings says that the settings have the same values.
 func (c *Config) SameSettings(next *Config) bool { return sameJSON(c.settings, next.settings) }
 
+// SameFleet says that the nodes would hear each other as before: the same keys, and the same place among them.
+func (c *Config) SameFleet(next *Config) bool {
+	a, b := &c.Rules.Place, &next.Rules.Place
+	return (c.Fleet == nil) == (next.Fleet == nil) && (c.Fleet == nil || sameJSON(c.fleet, next.fleet) &&
+		a.Number == b.Number && a.Zone == b.Zone && a.Nodes == b.Nodes)
+}
+
 // sameJSON compares values, whatever their spacing and the order of their keys.
 func sameJSON(a, b json.RawMessage) bool {
 	var one, other any
@@ -103,6 +111,7 @@
 	} `json:"limits"`
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
+	Fleet    json.RawMessage `json:"fleet"`
 }
 
 // Load reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_LOG_LEVEL stand in for
@@ -143,6 +152,7 @@
 		Discovery: cmp.Or(d.Discovery, getenv("NODE_DISCOVERY")),
 		Known:     d.Known,
 		settings:  d.Settings,
+		fleet:     d.Fleet,
 		Cores:     orDefault(d.Limits.Cores, defaultCores),
 		MemoryMB:  orDefault(d.Limits.MemoryMB, defaultMemoryMB),
 		Sockets:   orDefault(d.Limits.Sockets, defaultSockets),
@@ -189,7 +199,11 @@
 	if _, found := s.pairs["tenants.0.quota_rps"]; found {
 		c.Unheeded = append(c.Unheeded, "tenants.quota_rps")
 	}
-	return c, s.err
+	if s.err != nil {
+		return c, s.err
+	}
+	c.Fleet, err = parseFleet(d.Fleet)
+	return c, err
 }
 
 // check refuses values that no node could run with.
--- a/internal/config/explain.go
+++ b/internal/config/explain.go
@@ -37,13 +37,36 @@
 	line("A server that has just started can do %g%% of its work and is warm after %s; all nodes together must not send it",
 		100*r.Cold.From, Duration(r.Cold.Warm))
 	line("more than %g times what it can do for %s.", r.Cold.Factor, Duration(r.Cold.Window))
-	if r.Place.Peers {
-		line("Nodes may tell each other what they push; on sockets there is no way for it yet, and each decides alone.")
-	}
+	c.explainFleet(line)
 	line("Changes of the list come %s.", either(r.Registry.Ask, "only on asking, and the node asks", "unasked"))
 	return b.String()
 }
 
+func (c *Config) explainFleet(line func(format string, args ...any)) {
+	f := c.Fleet
+	if f == nil {
+		if c.Rules.Place.Peers {
+			line("Nodes may tell each other what they push, but key fleet is left out: there is no way for it, and each decides alone.")
+		}
+		return
+	}
+	line("The node hears others of fleet %q: it listens on %s (UDP and TCP), they reach it at %s, and it joins by %v.", f.Name,
+		f.Listen, f.Advertise, f.Join)
+	line("It sends them at most %d bytes a second in datagrams; what is more is dropped.", f.Pace)
+	switch {
+	case f.Words && c.Rules.Place.Peers:
+		line("Modules tell each other what they push and how it ends.")
+	case f.Words:
+		line("Modules tell each other nothing: setting limits.peers is not true.")
+	default:
+		line("Modules tell each other nothing: fleet.words is off.")
+	}
+	line("What others find of servers %s.", either(f.Judged, "weighs, where this node has no better evidence of its own", "is neither told nor heeded"))
+	if f.Control != "" {
+		line("Its own user sees what it knows by the socket %s (canvasrouter fleet).", f.Control)
+	}
+}
+
 func repeats(k *policy.Category) string {
 	switch k.Repeat {
 	case policy.Deduplicated:
--- /dev/null
+++ b/internal/fleet/control.go
@@ -0,0 +1,164 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"syscall"
+	"time"
+
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/words"
+	"canvasrouter/policy"
+)
+
+// View is what one node knows, as canvasrouter fleet prints it.
+type View struct {
+	Fleet   string        `json:"fleet"`
+	Own     MemberView    `json:"own"`
+	Members []MemberView  `json:"members"` // the others, by name; those gone are kept for a while
+	Ways    way.Counts    `json:"ways"`
+	Words   *words.Counts `json:"words,omitempty"`
+	Servers []ServerView  `json:"servers"` // of which anything is held
+	Foreign int64         `json:"judgements_not_understood"`
+}
+
+// MemberView is a member as a node sees it.
+type MemberView struct {
+	Name   string  `json:"name"`
+	Life   string  `json:"life"`
+	Number int     `json:"number"`
+	Zone   int     `json:"zone"`
+	Addr   string  `json:"addr"`
+	State  string  `json:"state"`
+	ForMs  float64 `json:"for_ms"` // in this state
+}
+
+// ServerView is what a node holds on a server.
+type ServerView struct {
+	Server  string       `json:"server"`
+	Own     string       `json:"own"`  // its own finding; "" if it has no fresh one
+	Ill     string       `json:"ill"`  // what others' reports come to
+	Part    float64      `json:"part"` // of its weight that is left
+	Reports []ReportView `json:"reports"`
+}
+
+// ReportView is one node's report.
+type ReportView struct {
+	Source string  `json:"source"` // a life
+	Node   int     `json:"node"`   // its number
+	Zone   int     `json:"zone"`
+	Ill    string  `json:"ill"`
+	AgeMs  float64 `json:"age_ms"`
+	SpanMs float64 `json:"span_ms"`
+}
+
+func ms(t policy.Micros) float64 { return float64(t) / 1000 }
+
+// View gives what the node knows now.
+func (f *Fleet) View() *View {
+	own, all := f.members.View()
+	now := f.clock.Now()
+	v := &View{Fleet: f.config.Name, Ways: f.way.Counts(), Members: []MemberView{}, Servers: []ServerView{}}
+	v.Own = MemberView{own.Name, fmt.Sprintf("%016x", uint64(own.Life)), own.Number, int(own.Zone), own.Addr.String(), "alive", 0}
+	for _, m := range all {
+		v.Members = append(v.Members, MemberView{m.Name, fmt.Sprintf("%016x", uint64(m.Life)), m.Number, int(m.Zone), m.Addr.String(),
+			m.State.String(), ms(now - m.Since)})
+	}
+	if f.words != nil {
+		counts := f.words.Counts()
+		v.Words = &counts
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v.Foreign = f.foreign
+	held := f.book.Held(now)
+	for _, server := range f.ids {
+		s := ServerView{Server: name(server), Part: 1, Ill: "well", Reports: []ReportView{}}
+		if ill, answered := f.own.Own(now, server); answered > 0 || ill != 0 {
+			s.Own = ill.String()
+		}
+		for _, w := range f.weights {
+			if w.Server == server {
+				s.Part, s.Ill = w.Part, w.Ill.String()
+			}
+		}
+		for _, r := range held[server] {
+			s.Reports = append(s.Reports, ReportView{fmt.Sprintf("%016x", uint64(r.Source)), int(r.Node), int(r.Zone), r.Ill.String(), ms(r.Age), ms(r.Span)})
+		}
+		if len(s.Reports) > 0 {
+			v.Servers = append(v.Servers, s)
+		}
+	}
+	return v
+}
+
+// control answers the node's own user on a Unix socket.
+type control struct {
+	listener net.Listener
+	server   *http.Server
+	path     string
+}
+
+const controlWait = 2 * time.Second
+
+// listen opens the socket, for its own user alone from the first moment. One that a process left behind is taken over; one
+// that somebody answers on is not.
+func listen(path string, f *Fleet) (*control, error) {
+	if c, err := net.DialTimeout("unix", path, controlWait); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("%s: another process answers there", path)
+	} else if errors.Is(err, syscall.ECONNREFUSED) {
+		os.Remove(path)
+	}
+	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
+		c.Control(func(fd uintptr) { err = syscall.Fchmod(int(fd), 0o600) }) // before it has a name
+		return err
+	}}
+	l, err := config.Listen(context.Background(), "unix", path)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /view", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(f.View())
+	})
+	return &control{listener: l, path: path, server: &http.Server{Handler: mux, ReadTimeout: controlWait, WriteTimeout: controlWait,
+		IdleTimeout: controlWait}}, nil
+}
+
+func (c *control) serve() { go c.server.Serve(c.listener) }
+
+func (c *control) close() {
+	c.server.Close()
+	c.listener.Close()
+}
+
+// Ask gets a node's view by its socket.
+func Ask(ctx context.Context, path string) (*View, error) {
+	client := &http.Client{Timeout: 2 * controlWait, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		}}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://node/view", nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, 64<<20))
+	if err != nil {
+		return nil, err
+	}
+	v := &View{}
+	return v, json.Unmarshal(raw, v)
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,277 @@
+// Package fleet is what a node hears of the others: ways, members, words between modules and judgements on servers, wired
+// together. Nothing here is waited for while an op is in hand; what is heard is advice.
+package fleet
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/config"
+	"canvasrouter/internal/fleet/judged"
+	"canvasrouter/internal/fleet/members"
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/words"
+	"canvasrouter/internal/node"
+	"canvasrouter/policy"
+)
+
+const (
+	// judgeEvery is the beat of judgements: what is new is told, what was heard is weighed.
+	judgeEvery = 50 * time.Millisecond
+	// tellTo is how many others are told in a beat, drawn anew each time.
+	tellTo = 3
+	// passOn is how often a node passes a report on: with tellTo, nine sends by each who has it leave about one in eight
+	// thousand without.
+	passOn = 3
+	// newcomers is how many that have just come are told all in a beat: the hand-over of many at once is spread.
+	newcomers = 2
+)
+
+// Fleet is one node's side. It is made by Start and ends with Close.
+type Fleet struct {
+	config  *config.Fleet
+	clock   *node.Clock
+	log     zerolog.Logger
+	node    *node.Node
+	way     *way.Way
+	members *members.Members
+	words   *words.Words // nil: modules tell nothing
+	control *control     // nil: no socket
+	number  uint16
+	done    chan struct{}
+	over    sync.WaitGroup
+
+	mu      sync.Mutex // guards what follows; held for moments, also by the node's actor
+	book    *judged.Book
+	own     *judged.Log
+	list    []policy.Entry
+	started map[policy.ServerID]policy.Micros
+	ids     []policy.ServerID
+	weights []judged.Weight
+	foreign int64 // frames of judgements of another form
+}
+
+// Start opens the node's way and begins to hear. The node is told what others judge, and tells what it sees, from Join on.
+func Start(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger) (*Fleet, error) {
+	f := &Fleet{config: c.Fleet, clock: clock, log: log, node: n, number: uint16(c.Rules.Place.Number), done: make(chan struct{}),
+		started: make(map[policy.ServerID]policy.Micros)}
+	life := way.LifeID(rand.Uint64()) // Danger: not from the seed, which a process that is back has again
+	zone := uint8(c.Rules.Place.Zone)
+	f.book, f.own = judged.NewBook(judged.SourceID(life), zone), judged.NewLog()
+	var err error
+	f.way, err = way.Open(way.Options{Fleet: c.Fleet.Name, Listen: c.Fleet.Listen, Advertise: c.Fleet.Advertise, Life: life, Pace: c.Fleet.Pace},
+		log.With().Str("part", "way").Logger())
+	if err != nil {
+		return nil, fmt.Errorf("key fleet.listen: %w", err)
+	}
+	if c.Fleet.Control != "" {
+		if f.control, err = listen(c.Fleet.Control, f); err != nil {
+			f.way.Close()
+			return nil, fmt.Errorf("key fleet.control: %w", err)
+		}
+	}
+	if c.Fleet.Judged {
+		f.way.Handle(way.Judgements, f.hear)
+	}
+	if c.Fleet.Words && c.Rules.Place.Peers {
+		f.words = words.Start(f.way, f.holder, n.Said)
+	}
+	own := members.Member{Name: c.Name, Life: life, Zone: zone, Number: c.Rules.Place.Number, Addr: c.Fleet.Advertise}
+	f.members, err = members.Start(members.Options{Own: own, Nodes: c.Rules.Place.Nodes, Join: c.Fleet.Join, Seed: c.Seed}, f.way, clock,
+		log.With().Str("part", "members").Logger())
+	if err != nil {
+		f.end()
+		return nil, err
+	}
+	f.way.Run()
+	if c.Fleet.Judged {
+		f.over.Go(f.judge)
+	}
+	n.Peer(f)
+	if f.control != nil {
+		f.control.serve()
+	}
+	log.Info().Str("listen", c.Fleet.Listen.String()).Str("advertise", c.Fleet.Advertise.String()).Str("life", fmt.Sprintf("%016x", uint64(life))).
+		Bool("words", f.words != nil).Bool("judged", c.Fleet.Judged).Msg("the node hears others")
+	return f, nil
+}
+
+// Leave tells the others that the node leaves. It waits for a moment at the most.
+func (f *Fleet) Leave() { f.members.Leave() }
+
+// Close ends it all: the node hears nobody, and what it was told of servers is forgotten.
+func (f *Fleet) Close() {
+	f.node.Peer(nil)
+	f.end()
+	f.log.Info().Msg("the node hears nobody any more")
+}
+
+func (f *Fleet) end() {
+	close(f.done)
+	if f.control != nil {
+		f.control.close()
+	}
+	if f.words != nil {
+		f.words.Close()
+	}
+	if f.members != nil {
+		f.members.Close()
+	}
+	f.way.Close()
+	f.over.Wait()
+}
+
+func (f *Fleet) holder(number int) (netip.AddrPort, bool) {
+	m, known := f.members.Holder(number)
+	return m.Addr, known
+}
+
+// Tell, Ended and Follow are node.Peers.
+func (f *Fleet) Tell(number int, word node.Word) {
+	if f.words != nil {
+		f.words.Tell(number, word)
+	}
+}
+
+func (f *Fleet) Sent(server policy.ServerID, category policy.CategoryID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.own.Sent(f.clock.Now(), server, category)
+}
+
+func (f *Fleet) Ended(server policy.ServerID, category policy.CategoryID, outcome policy.Outcome, took policy.Micros) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.own.Ended(f.clock.Now(), server, category, outcome, took)
+}
+
+func (f *Fleet) Follow(list []policy.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.list = append(f.list[:0], list...)
+	f.own.Follow(f.list, func(s policy.ServerID) policy.Micros { return f.started[s] })
+	clear(f.started)
+	f.ids = f.ids[:0]
+	for _, e := range f.list {
+		f.started[e.Server] = e.Started
+		if e.State == policy.Ready { // nothing is said of those that drain
+			f.ids = append(f.ids, e.Server)
+		}
+	}
+}
+
+// hear takes in what another node says of servers.
+func (f *Fleet) hear(_ netip.AddrPort, frame *way.Frame, late time.Duration) {
+	reports, understood := judged.Read(frame.Payload, make([]judged.Report, 0, judged.Fit(len(frame.Payload))))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !understood {
+		f.foreign++
+		return
+	}
+	for i := range reports {
+		reports[i].Age += policy.Micros(late.Microseconds())
+	}
+	f.book.Hear(f.clock.Now(), reports)
+}
+
+// judge is the beat of judgements.
+func (f *Fleet) judge() {
+	ticker := time.NewTicker(judgeEvery)
+	defer ticker.Stop()
+	payload := make([]byte, 0, way.MostPayload)
+	told := make(map[way.LifeID]bool) // those who were told all when they came
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-ticker.C:
+		}
+		others := f.members.There()
+		reports, parts, changed := f.beat()
+		if changed {
+			f.node.Weigh(parts)
+		}
+		payload = f.welcome(others, told, payload)
+		if len(reports) == 0 {
+			continue
+		}
+		payload = judged.Append(payload[:0], reports)
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		for _, m := range others[:min(tellTo, len(others))] {
+			f.way.Send(m.Addr, way.Judgements, payload)
+		}
+	}
+}
+
+// welcome tells those who have come all that is held, a few in a beat, and forgets those who have gone.
+func (f *Fleet) welcome(others []members.Member, told map[way.LifeID]bool, payload []byte) []byte {
+	here := make(map[way.LifeID]bool, len(others))
+	left := newcomers
+	for _, m := range others {
+		here[m.Life] = true
+		if told[m.Life] || left == 0 {
+			continue
+		}
+		left--
+		told[m.Life] = true
+		f.mu.Lock()
+		all := f.book.Reports(f.clock.Now(), 0, judged.Fit(way.MostPayload))
+		f.mu.Unlock()
+		if len(all) > 0 {
+			payload = judged.Append(payload[:0], all)
+			f.way.Send(m.Addr, way.Judgements, payload)
+		}
+	}
+	maps.DeleteFunc(told, func(life way.LifeID, _ bool) bool { return !here[life] })
+	return payload
+}
+
+// beat says what is new, weighs what was heard, and gives what to pass on.
+func (f *Fleet) beat() (reports []judged.Report, parts map[policy.ServerID]float64, changed bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	for _, r := range f.own.Say(now, f.number, f.book) {
+		f.book.Say(now, r)
+	}
+	f.book.Forget(now)
+	weights := judged.Weights(now, f.ids, f.book, f.own)
+	parts, changed = f.compare(weights)
+	f.weights = weights
+	reports = f.book.Reports(now, passOn, judged.Fit(way.MostPayload))
+	return reports, parts, changed
+}
+
+// compare says whether parts have changed, and logs what an operator acts on: a server that goes out of use by what others
+// say, and one that is back.
+func (f *Fleet) compare(weights []judged.Weight) (parts map[policy.ServerID]float64, changed bool) {
+	before := make(map[policy.ServerID]judged.Weight, len(f.weights))
+	for _, w := range f.weights {
+		before[w.Server] = w
+	}
+	parts = make(map[policy.ServerID]float64, len(weights))
+	for _, w := range weights {
+		parts[w.Server] = w.Part
+		was, known := before[w.Server]
+		changed = changed || !known || was.Part != w.Part
+		if !known || was.Ill != w.Ill {
+			f.log.Info().Str("server", name(w.Server)).Stringer("ill", w.Ill).Int("witnesses", w.Bad).Int("against", w.Good).
+				Bool("own zone", w.Here).Int64("since_ms", int64(f.clock.Now()-w.Since)/1000).Msg("others find a server bad")
+		}
+		delete(before, w.Server)
+	}
+	for server := range before {
+		changed = true
+		f.log.Info().Str("server", name(server)).Msg("others' finding on a server is let go")
+	}
+	return parts, changed
+}
+
+func name(s policy.ServerID) string { return fmt.Sprintf("%012x", uint64(s)) }
--- /dev/null
+++ b/internal/fleet/judged/judged.go
@@ -0,0 +1,319 @@
+// Package judged holds what nodes say of servers beyond single words: which are bad, since when, and for whom. It is pure:
+// reports come in with their age, are merged in whatever order they come, grow old, and are forgotten.
+//
+// Hearsay is advice. A node's own evidence of a server goes before it; one node alone closes nothing; who finds most
+// servers bad is no witness; and all together close at most a part of a node's servers.
+package judged
+
+import (
+	"cmp"
+	"slices"
+
+	"canvasrouter/policy"
+)
+
+// Ill is what is wrong with a server.
+type Ill uint8
+
+const (
+	Well    Ill = iota // answers, told where others say that it doesn't
+	Down               // says nothing, or can't be reached
+	Failing            // answers errors
+	Full               // turns away
+	Losing             // answers some and loses others
+	Slow               // late against the node's other servers
+	kinds
+)
+
+func (i Ill) String() string {
+	return [...]string{"well", "down", "failing", "full", "losing answers", "slow"}[i]
+}
+
+// closes says that an ill takes a server out of use, but for a trial now and then; a slow one only gets less.
+func (i Ill) closes() bool { return i != Well && i != Slow }
+
+// SourceID is one life of a node.
+type SourceID uint64
+
+// Report is what one node says of one server. A later one of the same source replaces it.
+type Report struct {
+	Server policy.ServerID
+	Source SourceID
+	Number uint32 // of the source's reports on this server
+	Ill    Ill
+	Zone   uint8         // of the source
+	Node   uint16        // number of the source: one node is one witness, however many lives it has
+	Age    policy.Micros // since the evidence
+	Span   policy.Micros // how long before that the ill had begun
+}
+
+const (
+	// keep is how long a report is kept after its evidence. One that was said well again is kept so long, too: older news
+	// that is still on its way must not revive.
+	keep = 4 * policy.Second
+	// fresh is the age up to which a report counts for the judgement.
+	fresh = 3 * policy.Second
+	// ownFresh is how long an own answer goes before hearsay, if it came after the ill is said to have begun.
+	ownFresh = 2 * policy.Second
+	// margin is by how much it must have come after: what was on its way says nothing.
+	margin = 50 * policy.Millisecond
+	// witnesses is how many nodes must say so.
+	witnesses = 2
+	// enough of the same reports lately, and a node says nothing more of it (as Trickle does, RFC 6206): bytes don't grow with
+	// nodes.
+	enough = 4
+	// mostSources are kept for a server: the freshest.
+	mostSources = 8
+	// mostServers are kept; past that what is fresher replaces what is older.
+	mostServers = 512
+	// Part is the largest part of a node's servers that hearsay closes.
+	Part = 1.0 / 2
+	// believed is the part of all servers of which one node may say that they are bad, and still be a witness. Danger: one
+	// that is cut off finds every server bad, and so does every one in a storm.
+	believed = 5.0 / 8
+)
+
+// kept is a report as a node holds it.
+type kept struct {
+	Report
+	at   policy.Micros // of the evidence, on this node's clock
+	told int           // times that it was passed on
+}
+
+// Book is what one node holds. One goroutine uses it at a time.
+type Book struct {
+	own     SourceID
+	zone    uint8
+	servers map[policy.ServerID][]kept // by source
+	now     policy.Micros
+}
+
+// NewBook makes the book of a life.
+func NewBook(own SourceID, zone uint8) *Book {
+	return &Book{own: own, zone: zone, servers: make(map[policy.ServerID][]kept)}
+}
+
+// Hear merges reports. Those of the node itself, of an unknown kind or too old are passed over.
+func (b *Book) Hear(now policy.Micros, reports []Report) {
+	b.now = now
+	for _, r := range reports {
+		if r.Source != b.own && r.Ill < kinds && r.Age >= 0 && r.Age <= keep {
+			b.put(r)
+		}
+	}
+}
+
+// Say takes up the node's own report.
+func (b *Book) Say(now policy.Micros, r Report) {
+	b.now = now
+	r.Source, r.Zone = b.own, b.zone
+	b.put(r)
+}
+
+func (b *Book) put(r Report) {
+	k := kept{Report: r, at: b.now - r.Age}
+	all := b.servers[r.Server]
+	if all == nil && len(b.servers) >= mostServers {
+		return
+	}
+	i := slices.IndexFunc(all, func(o kept) bool { return o.Source == r.Source })
+	switch {
+	case i >= 0 && k.Number > all[i].Number:
+		all[i] = k
+	case i >= 0:
+		// A copy of what is held, or older. Of copies the one that makes the evidence oldest is nearest the truth: time on
+		// ways is not in an age. Danger: to take the younger one for news would pass each report on for ever.
+		if k.Number == all[i].Number {
+			all[i].at = min(all[i].at, k.at)
+		}
+	case len(all) < mostSources:
+		all = append(all, k)
+	default:
+		// The oldest evidence of another gives way, if it is older.
+		oldest := 0
+		for j := range all {
+			if all[j].Source != b.own && (all[oldest].Source == b.own || all[j].at < all[oldest].at) {
+				oldest = j
+			}
+		}
+		if all[oldest].at < k.at {
+			all[oldest] = k
+		}
+	}
+	b.servers[r.Server] = all
+}
+
+// Forget lets go what is too old.
+func (b *Book) Forget(now policy.Micros) {
+	b.now = now
+	for server, all := range b.servers {
+		all = slices.DeleteFunc(all, func(k kept) bool { return now-k.at > keep })
+		if len(all) == 0 {
+			delete(b.servers, server)
+		} else {
+			b.servers[server] = all
+		}
+	}
+}
+
+// Reports gives what to pass on, the youngest evidence first, with ages now; so many at the most. Each is passed on so many
+// times, by when all have it or a way is cut; 0 gives all that is held, for one who has just come.
+func (b *Book) Reports(now policy.Micros, times, most int) (all []Report) {
+	for _, of := range b.servers {
+		for i := range of {
+			if k := &of[i]; now-k.at <= keep && (times == 0 || k.told < times) {
+				r := k.Report
+				r.Age = max(0, now-k.at)
+				all = append(all, r)
+			}
+		}
+	}
+	slices.SortFunc(all, compare)
+	all = all[:min(most, len(all))]
+	if times > 0 {
+		for _, r := range all {
+			of := b.servers[r.Server]
+			of[slices.IndexFunc(of, func(k kept) bool { return k.Source == r.Source })].told++
+		}
+	}
+	return all
+}
+
+func compare(a, b Report) int {
+	return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Server, b.Server), cmp.Compare(a.Source, b.Source))
+}
+
+// Disputed says that enough others call a server bad to close it: then a node that finds it well says so. Danger: an answer
+// to each that is late for one node alone would fill the ways while nothing is wrong.
+func (b *Book) Disputed(now policy.Micros, server policy.ServerID) bool {
+	first, found := uint16(0), false
+	for i := range b.servers[server] {
+		k := &b.servers[server][i]
+		if k.Source == b.own || k.Ill == Well || now-k.at > fresh {
+			continue
+		}
+		if found && k.Node != first {
+			return true
+		}
+		first, found = k.Node, true
+	}
+	return false
+}
+
+// Said says that enough others say the same of a server, and lately: one more would cost bytes and tell nothing.
+func (b *Book) Said(now policy.Micros, server policy.ServerID, ill Ill) bool {
+	n := 0
+	for i := range b.servers[server] {
+		if k := &b.servers[server][i]; k.Source != b.own && k.Ill.closes() == ill.closes() && now-k.at <= sayAgain {
+			n++
+		}
+	}
+	return n >= enough
+}
+
+// Judgement is what the others' reports make of a server.
+type Judgement struct {
+	Server    policy.ServerID
+	Ill       Ill
+	Bad, Good int           // witnesses
+	Since     policy.Micros // when it began, as they say
+	Last      policy.Micros // youngest evidence that there are two witnesses for
+	Here      bool          // the witnesses are of the node's own zone alone
+}
+
+// Judge weighs the reports of others on each server of the node's list, and gives those that are bad, the worst proven
+// first. Servers of which the node has own evidence are for the caller to leave out.
+func (b *Book) Judge(now policy.Micros, list []policy.ServerID) (all []Judgement) {
+	doubted := b.doubted(now, list)
+	for _, server := range list {
+		if j := b.judge(now, server, doubted); j.Ill != Well {
+			all = append(all, j)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Judgement) int { return cmp.Compare(b.Bad-b.Good, a.Bad-a.Good) })
+	return all
+}
+
+// doubted are the nodes that call too many of the servers bad.
+func (b *Book) doubted(now policy.Micros, list []policy.ServerID) map[uint16]bool {
+	bad := make(map[uint16]int)
+	for _, server := range list {
+		said := make(map[uint16]bool)
+		for _, k := range b.servers[server] {
+			if k.Source != b.own && k.Ill.closes() && now-k.at <= fresh && !said[k.Node] {
+				said[k.Node] = true
+				bad[k.Node]++
+			}
+		}
+	}
+	out := make(map[uint16]bool)
+	for node, n := range bad {
+		out[node] = n > 1 && float64(n) > believed*float64(len(list))
+	}
+	return out
+}
+
+// judge weighs one server's reports: of the node's own zone where enough are from there, since a server may be bad for
+// one zone only, else of all.
+func (b *Book) judge(now policy.Micros, server policy.ServerID, doubted map[uint16]bool) Judgement {
+	here := b.weigh(now, server, doubted, func(k *kept) bool { return k.Zone == b.zone })
+	if here.Bad+here.Good >= witnesses {
+		here.Here = true
+		return here
+	}
+	return b.weigh(now, server, doubted, func(*kept) bool { return true })
+}
+
+func (b *Book) weigh(now policy.Micros, server policy.ServerID, doubted map[uint16]bool, counts func(*kept) bool) Judgement {
+	j := Judgement{Server: server, Since: now}
+	latest := make(map[uint16]*kept) // one node is one witness
+	all := b.servers[server]
+	for i := range all {
+		k := &all[i]
+		if k.Source == b.own || now-k.at > fresh || !counts(k) || doubted[k.Node] && k.Ill.closes() {
+			continue
+		}
+		if o := latest[k.Node]; o == nil || o.at < k.at || o.at == k.at && o.Source < k.Source {
+			latest[k.Node] = k
+		}
+	}
+	var ills [kinds]int
+	var last policy.Micros // youngest evidence of all
+	for _, k := range latest {
+		if k.Ill == Well {
+			j.Good++
+			continue
+		}
+		j.Bad++
+		ills[k.Ill]++
+		j.Since = min(j.Since, k.at-k.Span)
+		if k.at > last {
+			last, j.Last = k.at, last
+		} else {
+			j.Last = max(j.Last, k.at)
+		}
+	}
+	if j.Bad < witnesses || j.Bad <= j.Good {
+		return j
+	}
+	for ill := Down; ill < kinds; ill++ { // the one most say; of as many the worse
+		if ills[ill] > ills[j.Ill] || j.Ill == Well && ills[ill] > 0 {
+			j.Ill = ill
+		}
+	}
+	return j
+}
+
+// Held gives what is held of a server, by source, with ages now; for whoever looks at a node.
+func (b *Book) Held(now policy.Micros) map[policy.ServerID][]Report {
+	out := make(map[policy.ServerID][]Report, len(b.servers))
+	for server, all := range b.servers {
+		for _, k := range all {
+			r := k.Report
+			r.Age = now - k.at
+			out[server] = append(out[server], r)
+		}
+		slices.SortFunc(out[server], compare)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/members/members.go
@@ -0,0 +1,278 @@
+package members
+
+import (
+	"fmt"
+	stdlog "log"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/node"
+	"canvasrouter/policy"
+)
+
+const (
+	// askEvery is how often a node asks one that it thinks gone, or one to join by that is not there. A cut that is over is
+	// found by it: members ask only those that they think alive.
+	askEvery = time.Second
+	// pollEvery is how often states are looked at that no event tells.
+	pollEvery = 500 * time.Millisecond
+	// leaveWait is how long a node waits until its leaving has gone out.
+	leaveWait = 300 * time.Millisecond
+	packets   = 256 // that may wait to be worked
+)
+
+// Options say who the node is and by whom it joins.
+type Options struct {
+	Own   Member
+	Nodes int // that the settings tell of
+	Join  []netip.AddrPort
+	Seed  uint64
+}
+
+// Members is the actor. Its methods may be called from any goroutine and don't wait, but for Leave and Close.
+type Members struct {
+	options Options
+	way     *way.Way
+	clock   *node.Clock
+	log     zerolog.Logger
+	list    *memberlist.Memberlist
+	packets chan *memberlist.Packet
+	done    chan struct{}
+	over    sync.WaitGroup
+	left    sync.Once
+
+	mu    sync.Mutex
+	table *Table
+}
+
+// Start joins. Nobody needs to be there yet.
+func Start(o Options, w *way.Way, clock *node.Clock, log zerolog.Logger) (*Members, error) {
+	m := &Members{options: o, way: w, clock: clock, log: log, packets: make(chan *memberlist.Packet, packets),
+		done: make(chan struct{}), table: NewTable(o.Own, o.Nodes)}
+	w.Handle(way.Membership, m.packet)
+	config := memberlist.DefaultLANConfig()
+	config.Name = id(o.Own.Name, o.Own.Life)
+	config.BindAddr, config.BindPort = o.Own.Addr.Addr().String(), int(o.Own.Addr.Port())
+	config.AdvertiseAddr, config.AdvertisePort = config.BindAddr, config.BindPort
+	config.Transport = &transport{m}
+	config.Delegate, config.Events = delegate{m}, events{m}
+	config.Logger = stdlog.New(quiet{log}, "", 0)
+	config.UDPBufferSize = way.MostPayload
+	config.EnableCompression = false // what is told is short
+	config.ProbeInterval, config.ProbeTimeout = 500*time.Millisecond, 200*time.Millisecond
+	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 3
+	config.GossipInterval = 100 * time.Millisecond
+	config.PushPullInterval = 15 * time.Second
+	config.TCPTimeout = 2 * time.Second
+	list, err := memberlist.Create(config)
+	if err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	m.list = list
+	m.over.Go(m.ask)
+	m.over.Go(m.poll)
+	return m, nil
+}
+
+// Leave tells the others that the node leaves, and waits until that has gone out, for a while at the most.
+func (m *Members) Leave() {
+	m.left.Do(func() {
+		if err := m.list.Leave(leaveWait); err != nil {
+			m.log.Debug().Err(err).Msg("leaving was not told to all")
+		}
+	})
+}
+
+// Close ends the actor, after Leave or without a word.
+func (m *Members) Close() {
+	close(m.done)
+	m.list.Shutdown()
+	m.over.Wait()
+}
+
+// View gives all that are known, and the node itself.
+func (m *Members) View() (own Member, all []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.own, m.table.All()
+}
+
+// There gives all others that are there.
+func (m *Members) There() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.There()
+}
+
+// Holder is whom a word to a number goes to.
+func (m *Members) Holder(number int) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.Holder(number)
+}
+
+// tell changes the table and logs what an operator may act on.
+func (m *Members) tell(change func(now policy.Micros) []Change) {
+	m.mu.Lock()
+	changes := change(m.clock.Now())
+	m.mu.Unlock()
+	for _, c := range changes {
+		line := m.log.Info()
+		if c.Other != "" {
+			line = m.log.Warn().Str("beside", c.Other)
+		}
+		line.Str("member", id(c.Member.Name, c.Member.Life)).Str("addr", c.Member.Addr.String()).Int("number", c.Member.Number).Msg(c.Text)
+	}
+}
+
+// member is a library's node in our terms.
+func member(n *memberlist.Node) (Member, error) {
+	m := Member{}
+	addr, ok := netip.AddrFromSlice(n.Addr)
+	if err := readMeta(n.Meta, &m); err != nil || !ok {
+		return m, errMeta
+	}
+	m.Addr = netip.AddrPortFrom(addr.Unmap(), n.Port)
+	m.Name, _, _ = strings.Cut(n.Name, "/")
+	if n.State == memberlist.StateSuspect {
+		m.State = Suspect
+	}
+	return m, nil
+}
+
+// heard takes in what the library says of one that is there.
+func (m *Members) heard(n *memberlist.Node) {
+	of, err := member(n)
+	if err != nil {
+		m.log.Warn().Str("member", n.Name).Err(err).Msg("a member is passed over")
+		return
+	}
+	m.tell(func(now policy.Micros) []Change { return m.table.Heard(now, of) })
+}
+
+// poll looks at what no event tells: who is suspect, and who is gone for long.
+func (m *Members) poll() {
+	ticker := time.NewTicker(pollEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.done:
+			return
+		case <-ticker.C:
+		}
+		for _, n := range m.list.Members() {
+			if n.State == memberlist.StateSuspect || n.State == memberlist.StateAlive {
+				m.heard(n)
+			}
+		}
+		m.tell(func(now policy.Micros) []Change { m.table.Forget(now); return nil })
+	}
+}
+
+// ask asks one address at a time, at random, whether somebody is there. Danger: nodes that start or heal together would
+// all ask the same one at once.
+func (m *Members) ask() {
+	rng := rand.New(rand.NewPCG(m.options.Seed, uint64(m.options.Own.Life)))
+	for wait := time.Duration(0); ; wait = askEvery/2 + time.Duration(rng.Int64N(int64(askEvery))) {
+		select {
+		case <-m.done:
+			return
+		case <-time.After(wait):
+		}
+		m.mu.Lock()
+		all := m.table.Ask(m.options.Join)
+		m.mu.Unlock()
+		if len(all) == 0 {
+			continue
+		}
+		addr := all[rng.IntN(len(all))]
+		if _, err := m.list.Join([]string{addr.String()}); err != nil {
+			m.log.Debug().Str("addr", addr.String()).Err(err).Msg("nobody was reached there")
+		}
+	}
+}
+
+// packet hands a datagram to the library.
+func (m *Members) packet(from netip.AddrPort, f *way.Frame, _ time.Duration) {
+	select {
+	case m.packets <- &memberlist.Packet{Buf: append([]byte(nil), f.Payload...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}:
+	default:
+		m.way.Overrun()
+	}
+}
+
+// transport is the library's way: ours.
+type transport struct{ *Members }
+
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	a := t.options.Own.Addr
+	return a.Addr().AsSlice(), int(a.Port()), nil
+}
+
+func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+	to, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return time.Time{}, err
+	}
+	t.way.Send(to, way.Membership, b) // what the pace or the kernel drops is lost, as on any way
+	return time.Now(), nil
+}
+
+func (t *transport) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
+	return t.WriteTo(b, addr.Addr)
+}
+
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *transport) StreamCh() <-chan net.Conn           { return t.way.Streams() }
+func (t *transport) Shutdown() error                     { return nil } // the way is closed by who opened it
+
+func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	return t.way.Dial(addr, timeout)
+}
+
+func (t *transport) DialAddressTimeout(addr memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.way.Dial(addr.Addr, timeout)
+}
+
+// delegate tells the library what a member says of itself.
+type delegate struct{ *Members }
+
+func (d delegate) NodeMeta(int) []byte             { return meta(&d.options.Own) }
+func (d delegate) NotifyMsg([]byte)                {}
+func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
+func (d delegate) LocalState(bool) []byte          { return nil }
+func (d delegate) MergeRemoteState([]byte, bool)   {}
+
+// events are the library's, told under its lock.
+type events struct{ *Members }
+
+func (e events) NotifyJoin(n *memberlist.Node)   { e.heard(n) }
+func (e events) NotifyUpdate(n *memberlist.Node) { e.heard(n) }
+
+func (e events) NotifyLeave(n *memberlist.Node) {
+	of, err := member(n)
+	if err != nil {
+		return
+	}
+	how := Dead
+	if n.State == memberlist.StateLeft {
+		how = Left
+	}
+	e.tell(func(now policy.Micros) []Change { return e.table.Gone(now, of.Life, how) })
+}
+
+// quiet writes the library's lines at debug level: what matters in them is told by changes.
+type quiet struct{ log zerolog.Logger }
+
+func (q quiet) Write(p []byte) (int, error) {
+	q.log.Debug().Msg(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/fleet/members/table.go
@@ -0,0 +1,266 @@
+// Package members keeps who is there: alive, suspect, left, dead, back as another life. The table and its rules are
+// pure; the actor wraps hashicorp/memberlist, whose ways are ours.
+package members
+
+import (
+	"cmp"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/policy"
+)
+
+// State is what is known of a member.
+type State uint8
+
+const (
+	Alive State = iota
+	Suspect
+	Left // it said so
+	Dead // it was found so
+)
+
+func (s State) String() string { return [...]string{"alive", "suspect", "left", "dead"}[s] }
+
+// there says that a member may be spoken to.
+func (s State) there() bool { return s <= Suspect }
+
+// Member is one life of a node.
+type Member struct {
+	Name   string
+	Life   way.LifeID
+	Zone   uint8
+	Number int // of the node among those of its tier
+	Addr   netip.AddrPort
+	State  State
+	Since  policy.Micros // of this state, here
+	joined uint64        // counts joins, as seen here
+}
+
+// id is a member's name among the members: one life has one, for good.
+func id(name string, life way.LifeID) string { return fmt.Sprintf("%s/%016x", name, uint64(life)) }
+
+const metaVersion = 1
+
+// meta is what a member tells of itself beside its name and address: version, zone, number, life.
+func meta(m *Member) []byte {
+	b := []byte{metaVersion, m.Zone}
+	b = binary.BigEndian.AppendUint32(b, uint32(m.Number))
+	return binary.BigEndian.AppendUint64(b, uint64(m.Life))
+}
+
+var errMeta = errors.New("members: what a member tells of itself is not understood")
+
+// readMeta takes it apart. A newer version may have more behind.
+func readMeta(b []byte, m *Member) error {
+	if len(b) < 14 || b[0] < metaVersion {
+		return errMeta
+	}
+	m.Zone, m.Number, m.Life = b[1], int(binary.BigEndian.Uint32(b[2:])), way.LifeID(binary.BigEndian.Uint64(b[6:]))
+	return nil
+}
+
+const (
+	// mostMembers are kept, those that are gone among them; what would be more is passed over.
+	mostMembers = 4096
+	// keepGone is how long one that is gone is kept, to be asked whether it is back.
+	keepGone = 10 * 60 * policy.Second
+)
+
+// Change is what an operator may act on.
+type Change struct {
+	Text   string
+	Member Member
+	Other  string // the life that it stands beside
+}
+
+// Table is who is there. It is told and read by one goroutine at a time.
+type Table struct {
+	own     Member
+	nodes   int // that the settings tell of: numbers are under it
+	members map[way.LifeID]*Member
+	joins   uint64
+	numbers map[int][]*Member // those there, by number; who joined last is first
+}
+
+// NewTable begins with the node itself, and how many nodes its settings tell of.
+func NewTable(own Member, nodes int) *Table {
+	return &Table{own: own, nodes: nodes, members: make(map[way.LifeID]*Member), numbers: make(map[int][]*Member)}
+}
+
+// Heard says that a member is there, alive or suspect.
+func (t *Table) Heard(now policy.Micros, m Member) (changes []Change) {
+	if m.Life == t.own.Life {
+		return nil
+	}
+	known := t.members[m.Life]
+	if known == nil {
+		if len(t.members) >= mostMembers && !t.room() {
+			return nil
+		}
+		known = &Member{}
+		t.members[m.Life] = known
+		known.State = Dead
+	}
+	was := *known
+	m.joined, m.Since = was.joined, was.Since
+	if m.State != was.State || m.Since == 0 {
+		m.Since = now
+	}
+	if !was.State.there() {
+		t.joins++
+		m.joined = t.joins
+		changes = append(changes, t.arrived(&m, was.Life != 0)...)
+	} else if m.State != was.State {
+		changes = append(changes, Change{Text: "member is " + m.State.String(), Member: m})
+	}
+	*known = m
+	t.order()
+	return changes
+}
+
+// arrived is what there is to say of one that has come.
+func (t *Table) arrived(m *Member, before bool) []Change {
+	text := "member is there"
+	if before {
+		text = "member is back"
+	}
+	changes := []Change{{Text: text, Member: *m}}
+	if m.Number >= t.nodes {
+		changes = append(changes, Change{Text: "number passes the nodes that the settings tell of", Member: *m,
+			Other: fmt.Sprintf("fleet_size %d", t.nodes)})
+	}
+	for _, other := range t.there(func(o *Member) bool { return o.Life != m.Life && (o.Name == m.Name || o.Number == m.Number) }) {
+		switch {
+		case other.Name == m.Name:
+			changes = append(changes, Change{Text: "two processes have one name", Member: *m, Other: id(other.Name, other.Life)})
+		case other.Number == m.Number:
+			changes = append(changes, Change{Text: "two nodes have one number", Member: *m, Other: id(other.Name, other.Life)})
+		}
+	}
+	if t.own.Name == m.Name {
+		changes = append(changes, Change{Text: "two processes have one name", Member: *m, Other: id(t.own.Name, t.own.Life)})
+	} else if t.own.Number == m.Number {
+		changes = append(changes, Change{Text: "two nodes have one number", Member: *m, Other: id(t.own.Name, t.own.Life)})
+	}
+	return changes
+}
+
+// there gives those that are, by a rule, in the order of their names.
+func (t *Table) there(which func(*Member) bool) (all []*Member) {
+	for _, m := range t.members {
+		if m.State.there() && which(m) {
+			all = append(all, m)
+		}
+	}
+	slices.SortFunc(all, byName)
+	return all
+}
+
+func byName(a, b *Member) int {
+	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
+}
+
+// Gone says that a member has left or was found dead.
+func (t *Table) Gone(now policy.Micros, life way.LifeID, how State) []Change {
+	m := t.members[life]
+	if m == nil || !m.State.there() {
+		return nil
+	}
+	m.State, m.Since = how, now
+	t.order()
+	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[how], Member: *m}}
+}
+
+// Forget lets those go that are gone for long.
+func (t *Table) Forget(now policy.Micros) {
+	for life, m := range t.members {
+		if !m.State.there() && now-m.Since > keepGone {
+			delete(t.members, life)
+		}
+	}
+}
+
+// room lets the one go that is gone for longest, if any is.
+func (t *Table) room() bool {
+	var oldest *Member
+	for _, m := range t.members {
+		if !m.State.there() && (oldest == nil || m.Since < oldest.Since || m.Since == oldest.Since && m.Life < oldest.Life) {
+			oldest = m
+		}
+	}
+	if oldest != nil {
+		delete(t.members, oldest.Life)
+	}
+	return oldest != nil
+}
+
+// order puts those that are there by number. Where two have one number, the one that joined last is first: a process that
+// was killed is found dead only after the one that took its place has come.
+func (t *Table) order() {
+	clear(t.numbers)
+	for _, m := range t.there(func(*Member) bool { return true }) {
+		t.numbers[m.Number] = append(t.numbers[m.Number], m)
+	}
+	for _, all := range t.numbers {
+		slices.SortFunc(all, func(a, b *Member) int { return cmp.Compare(b.joined, a.joined) })
+	}
+}
+
+// Holder is whom a word to a number goes to, if anybody has it.
+func (t *Table) Holder(number int) (Member, bool) {
+	if all := t.numbers[number]; len(all) > 0 {
+		return *all[0], true
+	}
+	return Member{}, false
+}
+
+// There gives all that are there, by name, without the node itself.
+func (t *Table) There() (all []Member) {
+	for _, m := range t.there(func(*Member) bool { return true }) {
+		all = append(all, *m)
+	}
+	return all
+}
+
+// All gives all that are kept, by name, without the node itself.
+func (t *Table) All() (all []Member) {
+	for _, m := range t.members {
+		all = append(all, *m)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return byName(&a, &b) })
+	return all
+}
+
+// Own is the node itself.
+func (t *Table) Own() Member { return t.own }
+
+// Ask gives the addresses that may be asked whether somebody is there: those to join by, and of members that are gone and
+// did not say that they leave, but for those where somebody else is now.
+func (t *Table) Ask(join []netip.AddrPort) (all []netip.AddrPort) {
+	taken := map[netip.AddrPort]bool{t.own.Addr: true}
+	for _, m := range t.members {
+		if m.State.there() {
+			taken[m.Addr] = true
+		}
+	}
+	add := func(a netip.AddrPort) {
+		if !taken[a] {
+			taken[a] = true
+			all = append(all, a)
+		}
+	}
+	for _, a := range join {
+		add(a)
+	}
+	for _, m := range t.All() {
+		if m.State == Dead {
+			add(m.Addr)
+		}
+	}
+	return all
+}
--- a/internal/lab/together/together.go
+++ b/internal/lab/together/together.go
@@ -14,13 +14,14 @@
 
 // Rig is what stands between the nodes of one run.
 type Rig struct {
-	Relay *relay.Relay
-	nodes int
-	dir   string
-	ways  []func(from, to int) relay.Way // of each fault of the experiment
-	mu    sync.Mutex
-	acts  map[int]int // numbers of the faults that act, by their place in the experiment
-	last  int
+	Relay   *relay.Relay
+	nodes   int
+	dir     string
+	ways    []func(from, to int) relay.Way // of each fault of the experiment
+	mu      sync.Mutex
+	acts    map[int]int // numbers of the faults that act, by their place in the experiment
+	further map[int]int // places beyond its own that a node's processes have had
+	last    int
 }
 
 // New opens the rig of a run: a relay with a place for each node and for each process that the plan starts at another
@@ -43,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Rig{Relay: r, nodes: nodes, dir: dir, acts: make(map[int]int), last: places}
+	g := &Rig{Relay: r, nodes: nodes, dir: dir, acts: make(map[int]int), further: make(map[int]int), last: places}
 	for i := range s.Between {
 		g.ways = append(g.ways, Ways(&s.Between[i], nodes, rng))
 	}
@@ -57,10 +58,14 @@
 	}
 }
 
-// Further is the next place for a process of a node that stands at another one already.
+// Further is the next place for a process of a node that stands at another one already. None is given twice.
 func (g *Rig) Further(place int) (next int, err error) {
-	if next = place + g.nodes; next >= g.last {
-		return 0, fmt.Errorf("node %d has no further address", place%g.nodes)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	node := place % g.nodes
+	g.further[node]++
+	if next = node + g.nodes*g.further[node]; next >= g.last {
+		return 0, fmt.Errorf("node %d has no further address", node)
 	}
 	return next, nil
 }
--- a/internal/node/generation.go
+++ b/internal/node/generation.go
@@ -63,7 +63,7 @@
 	if m.next.Apply != nil {
 		m.next.Apply()
 	}
-	n.step(m.next, &policy.Input{Kind: policy.ListCame, Form: policy.ListCached, List: n.list})
+	n.step(m.next, &policy.Input{Kind: policy.ListCame, Form: policy.ListCached, List: n.partly(n.list)})
 	n.log.Info().Int("generation", m.next.number).Int("in hand before", n.open).Msg("new settings")
 	m.done <- switchedTo{m.next.number, nil}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,8 @@
 
 	generations []*Generation // the newest is last
 	list        []policy.Entry
+	peers       Peers                       // nil: the node hears nobody
+	parts       map[policy.ServerID]float64 // of servers' weights, by others' judgement; absent: whole
 
 	ops     map[policy.OpID]*Op
 	open    int           // of them not settled
@@ -209,6 +211,12 @@
 		n.listed(m)
 	case switched:
 		n.switchTo(m)
+	case peering:
+		n.peer(m.peers)
+	case words:
+		n.hear(m)
+	case weighed:
+		n.weigh(m.parts)
 	}
 }
 
@@ -279,6 +287,9 @@
 		line.Uint32("op", uint32(op.id)).Uint8("push", uint8(push.no)).Str("server", fmt.Sprintf("%012x", push.Server)).
 			Stringer("outcome", result.Outcome).Int64("took_ms", int64(took/policy.Millisecond)).Msg("push ended")
 	}
+	if n.peers != nil {
+		n.peers.Ended(push.Server, op.Category, result.Outcome, max(0, took))
+	}
 	n.step(op.of, &policy.Input{Kind: policy.PushEnded, Op: op.id, Push: push.no, Server: push.Server,
 		Outcome: result.Outcome, Took: max(0, took), Settled: op.settled})
 	n.forget(op)
@@ -294,8 +305,11 @@
 	}
 	n.keep(list)
 	n.servers.Follow(list)
+	if n.peers != nil {
+		n.peers.Follow(n.list)
+	}
 	for _, g := range n.generations { // a drain binds all that still have ops in hand
-		n.step(g, &policy.Input{Kind: policy.ListCame, Form: list.Form, List: list.Entries})
+		n.step(g, &policy.Input{Kind: policy.ListCame, Form: list.Form, List: n.partly(list.Entries)})
 	}
 }
 
@@ -364,6 +378,10 @@
 		})
 	case policy.Watch:
 		n.registry.Watch()
+	case policy.Tell:
+		if n.peers != nil {
+			n.peers.Tell(e.Peer, e.Said)
+		}
 	case policy.Close:
 		n.servers.CloseIdle(e.Server)
 	case policy.Log:
@@ -410,5 +428,8 @@
 			Int64("for_ms", int64(push.For/policy.Millisecond)).Msg("push")
 	}
 	push.Body = op.Body.Reader()
+	if n.peers != nil {
+		n.peers.Sent(push.Server, op.Category)
+	}
 	n.servers.Push(push)
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	stdlog "log"
 	"math"
@@ -82,7 +83,7 @@
 
 	forClients, forServers, forRegistry, most := sockets.Split(c.Sockets)
 	clock := node.NewClock()
-	r := &running{Options: o, config: c, mostOpen: most, mostOut: forClients.Size(), log: log}
+	r := &running{Options: o, config: c, clock: clock, mostOpen: most, mostOut: forClients.Size(), log: log}
 	first, err := r.generation(c)
 	if err != nil {
 		return err
@@ -111,6 +112,10 @@
 	worked := make(chan error, 1)
 	go func() { worked <- actor.Run(working) }()
 	go list.Run(working, actor.Listed)
+	if err := r.hearOthers(c); err != nil {
+		return fmt.Errorf("config: %w", err)
+	}
+	defer r.others.close(true)
 	go func() { // until the process ends, also while it drains
 		for {
 			<-reload
@@ -125,6 +130,7 @@
 	select {
 	case <-terminate.Done():
 		log.Info().Msg("planned restart: draining")
+		go r.others.leave()
 		front.Drain(served, true)
 		log.Info().Msg("drained")
 		return nil
@@ -146,6 +152,8 @@
 	list              *registry.Registry
 	pool              *servers.Pool
 	front             *clients.Server
+	clock             *node.Clock
+	others            others
 }
 
 // generation is the module, unless something else stands in its place, as these settings make it.
@@ -153,8 +161,7 @@
 	for _, key := range c.Unheeded {
 		r.log.Warn().Str("key", key).Msg("setting is no longer heeded")
 	}
-	if c.Rules.Place.Peers {
-		// The protocol has no way for messages between nodes (docs/questions.md).
+	if c.Rules.Place.Peers && !canHear(c) {
 		r.log.Warn().Str("key", "limits.peers").Msg("nodes have no way to tell each other; the module decides without")
 		c.Rules.Place.Peers = false
 	}
@@ -191,9 +198,8 @@
 	file, err := config.Load(r.Getenv)
 	var next *config.Config
 	if err == nil {
-		if next = file.Running(c); !c.SameSettings(next) {
-			err = r.change(next)
-		}
+		next = file.Running(c)
+		err = r.takeOver(c, next)
 	}
 	if err != nil {
 		// Danger: the file may be half written; what runs is better than nothing.
@@ -211,6 +217,22 @@
 	r.config = next
 }
 
+// takeOver lets the node go by what differs in next.
+func (r *running) takeOver(c, next *config.Config) error {
+	if !c.SameFleet(next) {
+		r.others.close(false)
+		if err := r.hearOthers(next); err != nil {
+			return errors.Join(err, r.hearOthers(c)) // what ran before runs again
+		}
+		if c.SameSettings(next) && !next.Rules.Place.Peers {
+			return nil
+		}
+	} else if c.SameSettings(next) {
+		return nil
+	}
+	return r.change(next)
+}
+
 // change lets ops that come from now on go by the next settings. Danger: requests must not be read by categories that
 // no module has yet, so the front comes last.
 func (r *running) change(next *config.Config) error {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -155,7 +155,7 @@
 // one small service: calls are spread at random and back off.
 func (r *registry) heard(now Micros, form ListForm, rng *rand.Rand) {
 	switch {
-	case !r.Ask:
+	case !r.Ask || form == ListWeighed:
 	case form == ListCached:
 		r.next, r.wait = now+1+Micros(rng.Float64()*float64(r.Within/8)), r.Within/16
 	case form == ListFailed:
--- a/policy/types.go
+++ b/policy/types.go
@@ -112,8 +112,9 @@
 const (
 	ListChanges ListForm = iota
 	ListWhole
-	ListCached // whole, but old: the first of a node's life, and only that
-	ListFailed // a call to the registry failed, or the subscription broke
+	ListCached  // whole, but old: the first of a node's life, and only that
+	ListFailed  // a call to the registry failed, or the subscription broke
+	ListWeighed // changes of weights alone, by others' judgement: says nothing of the subscription
 )
 
 // Outcome is how a push ended.
