--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -114,11 +114,20 @@
 
 // Down ends the server: its connections are reset, and new ones refused. Silently, it keeps them open and says nothing
 // more until it is up again.
+//
+// Danger: net/http's Close waits for the loop that accepts, and that may be waiting for the lock to count a connection.
 func (s *Server) Down(silently bool) {
+	if server := s.die(silently); server != nil {
+		server.Close()
+	}
+}
+
+// die is Down up to what must be closed without the lock.
+func (s *Server) die(silently bool) (ended *http.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.http == nil {
-		return
+		return nil
 	}
 	if s.silent == nil {
 		for _, j := range s.model.Crash() {
@@ -129,7 +138,7 @@
 		if s.silent == nil {
 			s.silent = make(chan struct{})
 		}
-		return
+		return nil
 	}
 	for c := range s.conns {
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -142,8 +151,8 @@
 		close(s.silent)
 	}
 	s.listener.Close() // Danger: closed by http alone once Serve has begun, which may be after this
-	s.http.Close()
-	s.http = nil
+	ended, s.http = s.http, nil
+	return ended
 }
 
 // Slow, Stall and Behave set a fault.
--- a/internal/standin/server/server_test.go
+++ b/internal/standin/server/server_test.go
@@ -116,3 +116,35 @@
 		t.Errorf("a repeat ran: %v, core time %d", took, s.model.Busy())
 	}
 }
+
+// Danger: a server that was taken down just as it accepted a connection waited for its own accepting for ever, and the run
+// with it.
+func TestDownWhileAccepting(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	s := New(0, &scenario.Kind{IdleClose: scenario.Span(policy.Second)}, fleet.Traits{Cores: 1, Speed: 1}, addr,
+		World{Now: func() policy.Micros { return 0 }})
+	if err := s.Up(false); err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock() // first Down waits for it, then what accepts
+	ended := make(chan struct{})
+	go func() { s.Down(false); close(ended) }()
+	time.Sleep(20 * time.Millisecond)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	time.Sleep(20 * time.Millisecond)
+	s.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		t.Error("a server that was taken down is still closing")
+	}
+}
