--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -141,13 +141,14 @@
 	Report string `help:"Write a page with plots, baselines beside it." placeholder:"DIR"`
 	Bare   bool   `help:"Leave the baselines out of the report."`
 	Listen string `help:"Address of the first node." placeholder:"ADDR"`
+	Logs   string `help:"Keep the nodes' logs here, at level info." type:"existingdir" placeholder:"DIR"`
 	Nodes  int    `help:"Nodes of the first tier in place of the experiment's." placeholder:"N"`
 	Alone  bool   `help:"Nodes don't hear each other, whatever the experiment says."`
 }
 
 func (r *runCommand) wanted() lab.Choice {
 	return lab.Choice{Name: r.Name, Short: r.Short, Seed: r.Seed, Driver: r.Driver, Policy: r.Policy, Fault: r.Break,
-		Node: r.Node, Trace: r.Trace, Listen: r.Listen, Nodes: r.Nodes, Alone: r.Alone, Self: self()}
+		Node: r.Node, Trace: r.Trace, Listen: r.Listen, Logs: r.Logs, Nodes: r.Nodes, Alone: r.Alone, Self: self()}
 }
 
 func (r *runCommand) Run(ctx context.Context) error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -187,31 +187,37 @@
 	defer ticker.Stop()
 	payload := make([]byte, 0, way.MostPayload)
 	told := make(map[way.LifeID]bool) // those who were told all when they came
+	var known *members.Member         // of the others, as they were told last
 	for {
 		select {
 		case <-f.done:
 			return
 		case <-ticker.C:
 		}
-		others := f.members.There()
 		reports, parts, changed := f.beat()
 		if changed {
 			f.node.Weigh(parts)
 		}
-		payload = f.welcome(others, told, payload)
+		others := f.members.There()
+		if len(others) == 0 {
+			continue
+		}
+		if known != &others[0] && f.welcome(others, told, payload) {
+			known = &others[0]
+		}
 		if len(reports) == 0 {
 			continue
 		}
 		payload = judged.Append(payload[:0], reports)
-		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-		for _, m := range others[:min(tellTo, len(others))] {
-			f.way.Send(m.Addr, way.Judgements, payload)
+		for range min(tellTo, len(others)) { // one may be drawn twice; then it is told twice
+			f.way.Send(others[rand.IntN(len(others))].Addr, way.Judgements, payload)
 		}
 	}
 }
 
-// welcome tells those who have come all that is held, a few in a beat, and forgets those who have gone.
-func (f *Fleet) welcome(others []members.Member, told map[way.LifeID]bool, payload []byte) []byte {
+// welcome tells those who have come all that is held, a few in a beat, and forgets those who have gone. It says whether
+// all have been told.
+func (f *Fleet) welcome(others []members.Member, told map[way.LifeID]bool, payload []byte) bool {
 	here := make(map[way.LifeID]bool, len(others))
 	left := newcomers
 	for _, m := range others {
@@ -225,12 +231,11 @@
 		all := f.book.Reports(f.clock.Now(), 0, judged.Fit(way.MostPayload))
 		f.mu.Unlock()
 		if len(all) > 0 {
-			payload = judged.Append(payload[:0], all)
-			f.way.Send(m.Addr, way.Judgements, payload)
+			f.way.Send(m.Addr, way.Judgements, judged.Append(payload[:0], all))
 		}
 	}
 	maps.DeleteFunc(told, func(life way.LifeID, _ bool) bool { return !here[life] })
-	return payload
+	return left > 0
 }
 
 // beat says what is new, weighs what was heard, and gives what to pass on.
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -51,12 +52,14 @@
 
 	mu    sync.Mutex
 	table *Table
+	there atomic.Pointer[[]Member] // all others that are there, as of the last change
 }
 
 // Start joins. Nobody needs to be there yet.
 func Start(o Options, w *way.Way, clock *node.Clock, log zerolog.Logger) (*Members, error) {
 	m := &Members{options: o, way: w, clock: clock, log: log, packets: make(chan *memberlist.Packet, packets),
 		done: make(chan struct{}), table: NewTable(o.Own, o.Nodes)}
+	m.there.Store(new([]Member))
 	w.Handle(way.Membership, m.packet)
 	config := memberlist.DefaultLANConfig()
 	config.Name = id(o.Own.Name, o.Own.Life)
@@ -105,12 +108,8 @@
 	return m.table.own, m.table.All()
 }
 
-// There gives all others that are there.
-func (m *Members) There() []Member {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.table.There()
-}
+// There gives all others that are there. The slice is shared: it is read alone, and another one after a change.
+func (m *Members) There() []Member { return *m.there.Load() }
 
 // Holder is whom a word to a number goes to.
 func (m *Members) Holder(number int) (Member, bool) {
@@ -123,6 +122,10 @@
 func (m *Members) tell(change func(now policy.Micros) []Change) {
 	m.mu.Lock()
 	changes := change(m.clock.Now())
+	if len(changes) > 0 {
+		all := m.table.There()
+		m.there.Store(&all)
+	}
 	m.mu.Unlock()
 	for _, c := range changes {
 		line := m.log.Info()
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -119,7 +119,9 @@
 		changes = append(changes, Change{Text: "member is " + m.State.String(), Member: m})
 	}
 	*known = m
-	t.order()
+	if len(changes) > 0 {
+		t.order()
+	}
 	return changes
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -31,6 +31,7 @@
 	Node   string // a node's program in place of this one's own; live only
 	Trace  string // of arrivals, in place of the experiment's load
 	Listen string // of the first node; live only
+	Logs   string // a directory for the nodes' logs; live only
 	Nodes  int    // of the first tier, in place of the experiment's; 0: those
 	Alone  bool   // nodes don't hear each other, whatever the experiment says
 	Self   string // this program, which is a node with the argument "node"
@@ -149,7 +150,7 @@
 			Length: length, Arrivals: arrivals, Tick: tick})
 	case "live":
 		result, account, err = live.Run(ctx, live.Options{Scenario: s, Program: c.program(), Seed: c.Seed,
-			Length: length, Arrivals: arrivals, Listen: c.Listen, Tick: tick})
+			Length: length, Arrivals: arrivals, Listen: c.Listen, Logs: c.Logs, Tick: tick})
 	default:
 		err = fmt.Errorf("driver %q is not one of live, sim", driver)
 	}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -40,6 +40,7 @@
 	Length   policy.Micros // of the load
 	Arrivals []load.Arrival
 	Listen   string // of the first node; left out: any free address
+	Logs     string // a directory for the nodes' logs, at level info; left out: only last lines are kept
 	Tick     func(now policy.Micros, a *ledger.Account)
 }
 
--- a/internal/lab/live/process.go
+++ b/internal/lab/live/process.go
@@ -94,6 +94,9 @@
 	seed := stream.New(b.run.Seed, "node "+strconv.Itoa(b.place)+" "+strconv.Itoa(b.lives)).Uint64()
 	file := filepath.Join(b.run.dir, fmt.Sprintf("node-%d-%d.json", b.place, b.beside))
 	config := b.run.Scenario.Config(b.Balancer, fmt.Sprintf("n%d", b.place), b.door.addr, b.discovery, seed, b.known, b.fleet())
+	if b.run.Logs != "" { // then its environment says
+		config = bytes.Replace(config, []byte(`"log_level":"warn",`), nil, 1)
+	}
 	if err := os.WriteFile(file, config, 0o600); err != nil {
 		return err
 	}
@@ -102,6 +105,15 @@
 	cmd.Env = append(os.Environ(), "NODE_CONFIG="+file, labnode.SamplesEnv+"="+b.samples())
 	b.log = &tail{}
 	cmd.Stderr, cmd.Stdout, cmd.WaitDelay = b.log, b.log, outputWait
+	if b.run.Logs != "" {
+		cmd.Env = append(cmd.Env, "NODE_LOG_LEVEL=info")
+		file, err := os.OpenFile(filepath.Join(b.run.Logs, fmt.Sprintf("node-%d-%d.log", b.place, b.beside)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		cmd.Stderr = file
+	}
 	input, err := cmd.StdinPipe()
 	if err != nil {
 		return err
