Tests: processes that find each other through kills, cuts and bad ways; frames, members, words, judgements

The state suspect is gone: the library keeps it to itself. The relay's silent streams are those that open towards a node, no others.

--- a/cmd/canvasrouter/deploy_test.go
+++ b/cmd/canvasrouter/deploy_test.go
@@ -51,3 +51,16 @@
 		t.Errorf("the platform's binary is static: it needs %v", libraries)
 	}
 }
+
+// The platform's build links nothing of what nodes hear each other by, nor its libraries.
+func TestPlatformHearsNobody(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", "-tags", "platform", "canvasrouter/cmd/canvasrouter").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for _, line := range strings.Fields(string(out)) {
+		if regexp.MustCompile(`internal/fleet|hashicorp|bbolt|kong`).MatchString(line) {
+			t.Errorf("links %s", line)
+		}
+	}
+}
--- a/cmd/canvasrouter/fleet.go
+++ b/cmd/canvasrouter/fleet.go
@@ -44,7 +44,7 @@
 func printView(w io.Writer, v *fleet.View) {
 	there := 1
 	for _, m := range v.Members {
-		if m.State == "alive" || m.State == "suspect" {
+		if m.State == "alive" {
 			there++
 		}
 	}
--- a/internal/fleet/judged/evidence.go
+++ b/internal/fleet/judged/evidence.go
@@ -188,7 +188,7 @@
 // Own is a node's own finding on a server, and when it had an answer there last; 0: never, or not for long.
 func (l *Log) Own(now policy.Micros, server policy.ServerID) (ill Ill, answered policy.Micros) {
 	e := l.servers[server]
-	if e == nil || e.ended == 0 || now-e.ended > ownFresh && e.silent(now) == 0 {
+	if e == nil || e.silent(now) == 0 && (e.ended == 0 || now-e.ended > ownFresh) {
 		return Well, 0
 	}
 	return e.ill(now), e.good
--- a/internal/fleet/judged/judged.go
+++ b/internal/fleet/judged/judged.go
@@ -258,16 +258,21 @@
 // judge weighs one server's reports: of the node's own zone where enough are from there, since a server may be bad for
 // one zone only, else of all.
 func (b *Book) judge(now policy.Micros, server policy.ServerID, doubted map[uint16]bool) Judgement {
-	here := b.weigh(now, server, doubted, func(k *kept) bool { return k.Zone == b.zone })
+	all := b.weigh(now, server, doubted, now, func(*kept) bool { return true })
+	if all.Bad == 0 {
+		return all
+	}
+	here := b.weigh(now, server, doubted, all.Since, func(k *kept) bool { return k.Zone == b.zone })
 	if here.Bad+here.Good >= witnesses {
 		here.Here = true
 		return here
 	}
-	return b.weigh(now, server, doubted, func(*kept) bool { return true })
+	return all
 }
 
-func (b *Book) weigh(now policy.Micros, server policy.ServerID, doubted map[uint16]bool, counts func(*kept) bool) Judgement {
-	j := Judgement{Server: server, Since: now}
+// weigh counts the witnesses of some nodes. An answer given before the ill began, as any witness has it, says nothing.
+func (b *Book) weigh(now policy.Micros, server policy.ServerID, doubted map[uint16]bool, since policy.Micros, counts func(*kept) bool) Judgement {
+	j := Judgement{Server: server, Since: since}
 	latest := make(map[uint16]*kept) // one node is one witness
 	all := b.servers[server]
 	for i := range all {
@@ -296,7 +301,7 @@
 			j.Last = max(j.Last, k.at)
 		}
 	}
-	for _, k := range latest { // an answer from before it began says nothing
+	for _, k := range latest {
 		if k.Ill == Well && k.at > j.Since+margin {
 			j.Good++
 		}
--- a/internal/fleet/judged/weights.go
+++ b/internal/fleet/judged/weights.go
@@ -22,10 +22,10 @@
 // Weights gives the servers whose weight shrinks by hearsay, and to what part. It leaves out what own evidence speaks for,
 // and closes at most Part of the list: those with most witnesses against them.
 func Weights(now policy.Micros, list []policy.ServerID, b *Book, l *Log) (all []Weight) {
-	closed := 0
 	if len(b.servers) == 0 {
 		return nil
 	}
+	closed := 0
 	for _, j := range b.Judge(now, list) {
 		_, answered := l.Own(now, j.Server)
 		if answered > 0 && now-answered <= ownFresh && answered > j.Since+margin {
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -23,8 +23,6 @@
 	// askEvery is how often a node asks one that it thinks gone, or one to join by that is not there. A cut that is over is
 	// found by it: members ask only those that they think alive.
 	askEvery = time.Second
-	// pollEvery is how often states are looked at that no event tells.
-	pollEvery = 500 * time.Millisecond
 	// leaveWait is how long a node waits until its leaving has gone out.
 	leaveWait = 300 * time.Millisecond
 	packets   = 256 // that may wait to be worked
@@ -49,6 +47,7 @@
 	done    chan struct{}
 	over    sync.WaitGroup
 	left    sync.Once
+	leaves  atomic.Bool
 
 	mu    sync.Mutex
 	table *Table
@@ -71,7 +70,8 @@
 	config.UDPBufferSize = way.MostPayload
 	config.EnableCompression = false // what is told is short
 	config.ProbeInterval, config.ProbeTimeout = 500*time.Millisecond, 200*time.Millisecond
-	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 3
+	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
+	config.AwarenessMaxMultiplier = 3 // Danger: a node that is cut off finds itself ill, and would look for the others ever more slowly
 	config.GossipInterval = 100 * time.Millisecond
 	config.PushPullInterval = 15 * time.Second
 	config.TCPTimeout = 2 * time.Second
@@ -81,13 +81,16 @@
 	}
 	m.list = list
 	m.over.Go(m.ask)
-	m.over.Go(m.poll)
 	return m, nil
 }
 
 // Leave tells the others that the node leaves, and waits until that has gone out, for a while at the most.
 func (m *Members) Leave() {
 	m.left.Do(func() {
+		m.leaves.Store(true)
+		if err := m.list.UpdateNode(leaveWait); err != nil {
+			m.log.Debug().Err(err).Msg("that the node leaves was not told to all")
+		}
 		if err := m.list.Leave(leaveWait); err != nil {
 			m.log.Debug().Err(err).Msg("leaving was not told to all")
 		}
@@ -145,9 +148,6 @@
 	}
 	m.Addr = netip.AddrPortFrom(addr.Unmap(), n.Port)
 	m.Name, _, _ = strings.Cut(n.Name, "/")
-	if n.State == memberlist.StateSuspect {
-		m.State = Suspect
-	}
 	return m, nil
 }
 
@@ -161,25 +161,6 @@
 	m.tell(func(now policy.Micros) []Change { return m.table.Heard(now, of) })
 }
 
-// poll looks at what no event tells: who is suspect, and who is gone for long.
-func (m *Members) poll() {
-	ticker := time.NewTicker(pollEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-m.done:
-			return
-		case <-ticker.C:
-		}
-		for _, n := range m.list.Members() {
-			if n.State == memberlist.StateSuspect || n.State == memberlist.StateAlive {
-				m.heard(n)
-			}
-		}
-		m.tell(func(now policy.Micros) []Change { m.table.Forget(now); return nil })
-	}
-}
-
 // ask asks one address at a time, at random, whether somebody is there. Danger: nodes that start or heal together would
 // all ask the same one at once.
 func (m *Members) ask() {
@@ -191,6 +172,7 @@
 		case <-time.After(wait):
 		}
 		m.mu.Lock()
+		m.table.Forget(m.clock.Now())
 		all := m.table.Ask(m.options.Join)
 		m.mu.Unlock()
 		if len(all) == 0 {
@@ -248,7 +230,12 @@
 // delegate tells the library what a member says of itself.
 type delegate struct{ *Members }
 
-func (d delegate) NodeMeta(int) []byte             { return meta(&d.options.Own) }
+func (d delegate) NodeMeta(int) []byte {
+	own := d.options.Own
+	own.leaves = d.leaves.Load()
+	return meta(&own)
+}
+
 func (d delegate) NotifyMsg([]byte)                {}
 func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
 func (d delegate) LocalState(bool) []byte          { return nil }
@@ -266,7 +253,7 @@
 		return
 	}
 	how := Dead
-	if n.State == memberlist.StateLeft {
+	if of.leaves { // the library has it as well, and tells nobody
 		how = Left
 	}
 	e.tell(func(now policy.Micros) []Change { return e.table.Gone(now, of.Life, how) })
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -18,16 +18,15 @@
 type State uint8
 
 const (
-	Alive State = iota
-	Suspect
-	Left // it said so
-	Dead // it was found so
+	Alive State = iota // those that are suspected are alive until they are found dead: the library tells no more
+	Left               // it said so
+	Dead               // it was found so
 )
 
-func (s State) String() string { return [...]string{"alive", "suspect", "left", "dead"}[s] }
+func (s State) String() string { return [...]string{"alive", "left", "dead"}[s] }
 
 // there says that a member may be spoken to.
-func (s State) there() bool { return s <= Suspect }
+func (s State) there() bool { return s == Alive }
 
 // Member is one life of a node.
 type Member struct {
@@ -38,6 +37,7 @@
 	Addr   netip.AddrPort
 	State  State
 	Since  policy.Micros // of this state, here
+	leaves bool          // it has said that it leaves
 	joined uint64        // counts joins, as seen here
 }
 
@@ -46,20 +46,25 @@
 
 const metaVersion = 1
 
-// meta is what a member tells of itself beside its name and address: version, zone, number, life.
+// meta is what a member tells of itself beside its name and address: version, zone, number, life, whether it leaves.
 func meta(m *Member) []byte {
 	b := []byte{metaVersion, m.Zone}
 	b = binary.BigEndian.AppendUint32(b, uint32(m.Number))
-	return binary.BigEndian.AppendUint64(b, uint64(m.Life))
+	b = binary.BigEndian.AppendUint64(b, uint64(m.Life))
+	if m.leaves {
+		return append(b, 1)
+	}
+	return append(b, 0)
 }
 
 var errMeta = errors.New("members: what a member tells of itself is not understood")
 
 // readMeta takes it apart. A newer version may have more behind.
 func readMeta(b []byte, m *Member) error {
-	if len(b) < 14 || b[0] < metaVersion {
+	if len(b) < 15 || b[0] < metaVersion {
 		return errMeta
 	}
+	m.leaves = b[14] == 1
 	m.Zone, m.Number, m.Life = b[1], int(binary.BigEndian.Uint32(b[2:])), way.LifeID(binary.BigEndian.Uint64(b[6:]))
 	return nil
 }
@@ -92,7 +97,7 @@
 	return &Table{own: own, nodes: nodes, members: make(map[way.LifeID]*Member), numbers: make(map[int][]*Member)}
 }
 
-// Heard says that a member is there, alive or suspect.
+// Heard says that a member is there.
 func (t *Table) Heard(now policy.Micros, m Member) (changes []Change) {
 	if m.Life == t.own.Life {
 		return nil
@@ -115,12 +120,11 @@
 		t.joins++
 		m.joined = t.joins
 		changes = append(changes, t.arrived(&m, was.Life != 0)...)
-	} else if m.State != was.State {
-		changes = append(changes, Change{Text: "member is " + m.State.String(), Member: m})
 	}
 	*known = m
-	if len(changes) > 0 {
-		t.order()
+	if len(changes) > 0 || m.Number != was.Number {
+		t.order(was.Number)
+		t.order(m.Number)
 	}
 	return changes
 }
@@ -174,7 +178,7 @@
 		return nil
 	}
 	m.State, m.Since = how, now
-	t.order()
+	t.order(m.Number)
 	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[how], Member: *m}}
 }
 
@@ -201,16 +205,16 @@
 	return oldest != nil
 }
 
-// order puts those that are there by number. Where two have one number, the one that joined last is first: a process that
-// was killed is found dead only after the one that took its place has come.
-func (t *Table) order() {
-	clear(t.numbers)
-	for _, m := range t.there(func(*Member) bool { return true }) {
-		t.numbers[m.Number] = append(t.numbers[m.Number], m)
-	}
-	for _, all := range t.numbers {
-		slices.SortFunc(all, func(a, b *Member) int { return cmp.Compare(b.joined, a.joined) })
+// order puts those that are there and have a number in order. Where two have one number, the one that joined last is first: a
+// process that was killed is found dead only after the one that took its place has come.
+func (t *Table) order(number int) {
+	all := t.there(func(m *Member) bool { return m.Number == number })
+	if len(all) == 0 {
+		delete(t.numbers, number)
+		return
 	}
+	slices.SortFunc(all, func(a, b *Member) int { return cmp.Compare(b.joined, a.joined) })
+	t.numbers[number] = all
 }
 
 // Holder is whom a word to a number goes to, if anybody has it.
--- /dev/null
+++ b/internal/fleet/members/table_test.go
@@ -0,0 +1,95 @@
+package members
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/policy"
+)
+
+func addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, byte(n)}), 7946)
+}
+
+// What is told of members, step by step: who is there, who has a number, what an operator is told.
+func TestTable(t *testing.T) {
+	table := NewTable(Member{Name: "n0", Life: 100, Number: 0, Addr: addr(1)}, 3)
+	texts := func(changes []Change) string {
+		var all []string
+		for _, c := range changes {
+			all = append(all, c.Text)
+		}
+		return strings.Join(all, "; ")
+	}
+	for i, step := range []struct {
+		changes []Change
+		want    string
+		holder  way.LifeID // of number 1
+	}{
+		{table.Heard(1, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "member is there", 11},
+		{table.Heard(2, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "", 11},
+		{table.Heard(3, Member{Name: "n1", Life: 12, Number: 1, Addr: addr(2)}), "member is there; two processes have one name", 12},
+		{table.Gone(4, 11, Dead), "member is dead", 12},
+		{table.Gone(5, 11, Dead), "", 12},
+		{table.Heard(6, Member{Name: "n2", Life: 13, Number: 1, Addr: addr(3)}), "member is there; two nodes have one number", 13},
+		{table.Gone(7, 13, Left), "member has left", 12},
+		{table.Heard(8, Member{Name: "n7", Life: 14, Number: 7, Addr: addr(4)}), "member is there; number passes the nodes that the settings tell of", 12},
+		{table.Gone(9, 12, Dead), "member is dead", 0},
+		{table.Heard(10, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "member is back", 11},
+		{table.Heard(11, Member{Name: "n0", Life: 15, Number: 0, Addr: addr(5)}), "member is there; two processes have one name", 11},
+		{table.Heard(12, Member{Name: "n0", Life: 100, Number: 0, Addr: addr(1)}), "", 11}, // itself
+	} {
+		if got := texts(step.changes); got != step.want {
+			t.Errorf("step %d: %q, not %q", i, got, step.want)
+		}
+	}
+	if m, _ := table.Holder(1); m.Life != 11 {
+		t.Errorf("number 1 is with %d", m.Life)
+	}
+	// Asked are those to join by and those found dead, but not where somebody is, and not those that left.
+	ask := table.Ask([]netip.AddrPort{addr(1), addr(4), addr(9)})
+	if len(ask) != 1 || ask[0] != addr(9) {
+		t.Errorf("asks %v", ask)
+	}
+	table.Gone(20, 14, Dead)
+	if ask := table.Ask(nil); len(ask) != 1 || ask[0] != addr(4) {
+		t.Errorf("asks %v", ask)
+	}
+	table.Forget(21 + keepGone)
+	if all := table.All(); len(all) != 2 || len(table.There()) != 2 {
+		t.Errorf("kept %v", all)
+	}
+}
+
+// However many come, so many are kept; those that are gone make room, those there don't.
+func TestMostMembers(t *testing.T) {
+	table := NewTable(Member{Name: "own", Life: 1 << 40}, 1)
+	for i := range mostMembers + 10 {
+		table.Heard(policy.Micros(i), Member{Name: "n", Life: way.LifeID(i + 1), Number: i})
+	}
+	if len(table.members) != mostMembers {
+		t.Errorf("%d members", len(table.members))
+	}
+	table.Gone(1, 1, Dead)
+	table.Heard(2, Member{Name: "new", Life: 1 << 41, Number: 5})
+	if len(table.members) != mostMembers || table.members[1<<41] == nil || table.members[1] != nil {
+		t.Errorf("%d members, the new one %v", len(table.members), table.members[1<<41])
+	}
+}
+
+// What a member tells of itself comes back; anything shorter is refused, anything longer may be a newer version's.
+func TestMeta(t *testing.T) {
+	want := Member{Life: 1<<63 + 5, Zone: 3, Number: 70_000, leaves: true}
+	b := meta(&want)
+	got := Member{}
+	if err := readMeta(append(b, "more"...), &got); err != nil || got != want {
+		t.Errorf("%v, %+v", err, got)
+	}
+	for n := range b {
+		if readMeta(b[:n], &got) == nil {
+			t.Errorf("%d bytes are understood", n)
+		}
+	}
+}
--- a/internal/serve/others.go
+++ b/internal/serve/others.go
@@ -45,6 +45,7 @@
 	defer o.mu.Unlock()
 	o.over = o.over || over
 	if o.fleet != nil {
+		o.fleet.Leave() // the others needn't find out; once is enough
 		o.fleet.Close()
 		o.fleet = nil
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -361,7 +361,7 @@
 	defer near.Close()
 	ended := make(chan struct{})
 	defer close(ended)
-	if !r.passable(from, to, near, ended) || !r.passable(to, from, near, ended) {
+	if !r.passable(from, to, true, ended) || !r.passable(to, from, false, ended) {
 		return
 	}
 	dialer := net.Dialer{Timeout: 2 * time.Second, LocalAddr: &net.TCPAddr{IP: Advertised(from, r.port).Addr().AsSlice()}}
@@ -387,10 +387,11 @@
 	both.Wait()
 }
 
-// passable waits until the way is open for streams, and says whether it came to that.
-func (r *Relay) passable(from, to int, c net.Conn, ended chan struct{}) bool {
+// passable waits until the way is open, for a stream that opens also until streams are answered, and says whether it came
+// to that.
+func (r *Relay) passable(from, to int, opens bool, ended chan struct{}) bool {
 	for begun := time.Now(); ; {
-		if w := r.way(from, to); !w.Cut && !w.Silent {
+		if w := r.way(from, to); !w.Cut && !(opens && w.Silent) {
 			return true
 		}
 		if time.Since(begun) > mostHeld {
@@ -412,7 +413,7 @@
 		in.SetReadDeadline(time.Now().Add(mostHeld))
 		n, err := in.Read(buffer)
 		if n > 0 {
-			if !r.passable(from, to, in, ended) {
+			if !r.passable(from, to, false, ended) {
 				break
 			}
 			r.places[from].streamBytes.Add(int64(n))
