--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -140,12 +140,16 @@
 		changes = append(changes, Change{Text: "number passes the nodes that the settings tell of", Member: *m,
 			Other: fmt.Sprintf("fleet_size %d", t.nodes)})
 	}
-	for _, other := range t.there(func(o *Member) bool { return o.Life != m.Life && (o.Name == m.Name || o.Number == m.Number) }) {
-		switch {
-		case other.Name == m.Name:
-			changes = append(changes, Change{Text: "two processes have one name", Member: *m, Other: id(other.Name, other.Life)})
-		case other.Number == m.Number:
-			changes = append(changes, Change{Text: "two nodes have one number", Member: *m, Other: id(other.Name, other.Life)})
+	// One that it clashes with is enough to tell. Danger: where all have one name, a line for each pair would fill the log.
+	for _, same := range []struct {
+		text string
+		is   func(*Member) bool
+	}{
+		{"two processes have one name", func(o *Member) bool { return o.Name == m.Name }},
+		{"two nodes have one number", func(o *Member) bool { return o.Name != m.Name && o.Number == m.Number }},
+	} {
+		if all := t.there(func(o *Member) bool { return o.Life != m.Life && same.is(o) }); len(all) > 0 {
+			changes = append(changes, Change{Text: same.text, Member: *m, Other: id(all[0].Name, all[0].Life)})
 		}
 	}
 	if t.own.Name == m.Name {
