A push that waits long speaks against its server where three nodes have one; members that lie; canvaslab members

Ruled out: the ways (nothing dropped), the time between finding and weighing (under 60 ms from first to nine tenths of the nodes in the logs). An overdue push as good as a time-out closed all 24 servers at some time, as pushes are late everywhere in a jam (logs): it is an ill of its own now, three must say so, and one answer to anybody since ends it.

--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -38,6 +38,7 @@
 	Up      upCommand      `cmd:"" help:"Start an experiment's fleet and nodes without a load, until interrupted."`
 	Table   tableCommand   `cmd:"" help:"Play experiments with the module and the baselines, and print a table in Markdown."`
 	Count   countCommand   `cmd:"" help:"Count over the logs of a whole fleet what all its nodes do together."`
+	Members membersCommand `cmd:"" help:"Start processes that hear each other, and measure how long they take to agree on who is there."`
 	Versus  versusCommand  `cmd:"" help:"Compare the node's throughput and delay with net/http's reverse proxy, in one run."`
 	Proxy   proxyCommand   `cmd:"" hidden:"" help:"Be a plain reverse proxy."`
 	Node    nodeCommand    `cmd:"" hidden:"" help:"Be a node of the laboratory; NODE_CONFIG names its configuration."`
@@ -232,8 +233,8 @@
 	fmt.Fprintf(w, "  p50 %.1f ms, p99 %.1f ms, p99.9 %.1f ms; %.3f pushes an op; wasted work %.3f\n", r.P50Ms, r.P99Ms,
 		r.P999Ms, r.PushesPerOp, r.Wasted)
 	if t := r.Between; t != nil {
-		fmt.Fprintf(w, "  between nodes: %.0f bytes and %.1f datagrams a node and second, the busiest node %.0f bytes; rig late %.1f ms\n", t.Bytes,
-			t.Datagrams, t.MostBytes, r.RigLateMs)
+		fmt.Fprintf(w, "  between nodes: %.0f bytes and %.1f datagrams a node and second, the busiest node %.0f bytes; at most %.2f of a node's servers closed by hearsay; rig late %.1f ms\n",
+			t.Bytes, t.Datagrams, t.MostBytes, t.Closed, r.RigLateMs)
 	}
 	if len(r.BrokenRules) == 0 {
 		fmt.Fprintln(w, "  the four rules hold")
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -25,6 +25,7 @@
 	Ways    way.Counts    `json:"ways"`
 	Words   *words.Counts `json:"words,omitempty"`
 	Servers []ServerView  `json:"servers"` // of which anything is held
+	Listed  int           `json:"listed"`  // servers that are ready, by the list
 	Foreign int64         `json:"judgements_not_understood"`
 }
 
@@ -76,7 +77,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v.Foreign = f.foreign
+	v.Foreign, v.Listed = f.foreign, len(f.ids)
 	held := f.book.Held(now)
 	for _, server := range f.ids {
 		s := ServerView{Server: name(server), Part: 1, Ill: "well", Reports: []ReportView{}}
--- a/internal/fleet/judged/evidence.go
+++ b/internal/fleet/judged/evidence.go
@@ -171,8 +171,10 @@
 // ill is what the evidence says.
 func (e *Evidence) ill(now policy.Micros) Ill {
 	switch {
-	case e.failures > 0 || e.silent(now) > 0:
+	case e.failures > 0:
 		return Down
+	case e.silent(now) > 0:
+		return Silent
 	case e.errors.over(1.0 / 2):
 		return Failing
 	case e.full.over(1.0 / 2):
@@ -228,12 +230,10 @@
 		e.said, e.saidAt = ill, now
 		r := Report{Server: server, Number: e.number, Ill: ill, Node: node, Age: max(0, now-at)}
 		switch ill {
+		case Silent:
+			r.Span = at - silent
 		case Down:
-			since := e.since
-			if silent > 0 && (since == 0 || silent < since) {
-				since = silent
-			}
-			r.Span = max(0, at-since)
+			r.Span = max(0, at-e.since)
 		case Failing, Full, Losing:
 			r.Span = max(0, at-e.badFrom)
 		}
--- a/internal/fleet/judged/judged.go
+++ b/internal/fleet/judged/judged.go
@@ -22,11 +22,12 @@
 	Full               // turns away
 	Losing             // answers some and loses others
 	Slow               // late against the node's other servers
+	Silent             // has not answered a push that is out for long: less than Down, and known sooner
 	kinds
 )
 
 func (i Ill) String() string {
-	return [...]string{"well", "down", "failing", "full", "losing answers", "slow"}[i]
+	return [...]string{"well", "down", "failing", "full", "losing answers", "slow", "silent"}[i]
 }
 
 // closes says that an ill takes a server out of use, but for a trial now and then; a slow one only gets less.
@@ -50,9 +51,9 @@
 const (
 	// keep is how long a report is kept after its evidence. One that was said well again is kept so long, too: older news
 	// that is still on its way must not revive.
-	keep = 4 * policy.Second
+	keep = 6 * policy.Second
 	// fresh is the age up to which a report counts for the judgement.
-	fresh = 3 * policy.Second
+	fresh = 5 * policy.Second
 	// ownFresh is how long an own answer goes before hearsay, if it came after the ill is said to have begun.
 	ownFresh = 2 * policy.Second
 	// margin is by how much it must have come after: what was on its way says nothing.
@@ -61,6 +62,8 @@
 	refuted = 300 * policy.Millisecond
 	// witnesses is how many nodes must say so.
 	witnesses = 2
+	// waiting is how many must say so where all that some have is a push without an answer yet.
+	waiting = 3
 	// enough of the same reports lately, and a node says nothing more of it (as Trickle does, RFC 6206): bytes don't grow with
 	// nodes.
 	enough = 4
@@ -219,7 +222,8 @@
 	Ill       Ill
 	Bad, Good int           // witnesses
 	Since     policy.Micros // when it began, as they say
-	Last      policy.Micros // youngest evidence that there are two witnesses for
+	Last      policy.Micros // youngest evidence
+	Answered  policy.Micros // youngest answer to another, after it began; 0: none
 	Here      bool          // the witnesses are of the node's own zone alone
 }
 
@@ -285,9 +289,17 @@
 		}
 	}
 	answered := b.answered(latest)
-	counted := func(k *kept) bool { return k.Ill != Down || answered <= k.at+refuted }
+	last := policy.Micros(0) // answer to anybody
+	for _, k := range latest {
+		if k.Ill == Well {
+			last = max(last, k.at)
+		}
+	}
+	// Danger: in a jam pushes are late everywhere, and a server that answers others is not silent.
+	counted := func(k *kept) bool {
+		return (k.Ill != Down || answered <= k.at+refuted) && (k.Ill != Silent || last <= k.at-k.Span+margin)
+	}
 	var ills [kinds]int
-	var last policy.Micros // youngest evidence of all
 	for _, k := range latest {
 		if k.Ill == Well || !counted(k) {
 			continue
@@ -295,18 +307,15 @@
 		j.Bad++
 		ills[k.Ill]++
 		j.Since = min(j.Since, k.at-k.Span)
-		if k.at > last {
-			last, j.Last = k.at, last
-		} else {
-			j.Last = max(j.Last, k.at)
-		}
+		j.Last = max(j.Last, k.at)
 	}
 	for _, k := range latest {
 		if k.Ill == Well && k.at > j.Since+margin {
 			j.Good++
+			j.Answered = max(j.Answered, k.at)
 		}
 	}
-	if j.Bad < witnesses || j.Bad <= j.Good {
+	if j.Bad < witnesses || ills[Silent] > 0 && j.Bad < waiting && j.Bad-ills[Silent] < witnesses || j.Bad <= j.Good {
 		return j
 	}
 	for ill := Down; ill < kinds; ill++ { // the one most say; of as many the worse
--- a/internal/fleet/judged/judged_test.go
+++ b/internal/fleet/judged/judged_test.go
@@ -111,22 +111,26 @@
 		saw     func(*Log)
 		closed  int
 	}{
-		"nobody says anything":     {nil, nil, 0},
-		"one alone":                {says(2, Down, 0, 1, 2), nil, 0},
-		"one alone, in two lives":  {join(says(2, Down, 0, 1), []Report{{Server: 1, Source: 999, Node: 2, Number: 1, Ill: Down}}), nil, 0},
-		"two":                      {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), nil, 1},
-		"two, long ago":            {join(says(2, Down, fresh+1, 1), says(4, Down, fresh+1, 1)), nil, 0},
-		"two find all bad":         {join(says(2, Down, 0, all...), says(4, Down, 0, all...)), nil, 0},
-		"everybody finds all bad":  {join(says(2, Down, 0, all...), says(4, Down, 0, all...), says(6, Down, 0, all...), says(3, Full, 0, all...)), nil, 0},
-		"two find five of eight":   {join(says(2, Down, 0, all[:5]...), says(4, Down, 0, all[:5]...)), nil, 4}, // a half at the most
-		"as many find it well":     {join(says(2, Failing, 0, 1), says(4, Failing, 0, 1), says(6, Well, 0, 1), says(8, Well, 0, 1)), nil, 0},
-		"well before it began":     {join(says(2, Down, 0, 1), says(4, Down, 0, 1), says(6, Well, 5*tenth, 1), says(8, Well, 5*tenth, 1)), nil, 1},
-		"answers again":            {join(says(2, Down, 5*tenth, 1), says(4, Down, 5*tenth, 1), says(3, Down, 5*tenth, 1), says(6, Well, 0, 1), says(8, Well, 0, 1)), nil, 0},
-		"bad in the other zone":    {join(says(3, Losing, 0, 1), says(5, Losing, 0, 1), says(7, Losing, 0, 1), says(2, Well, 0, 1), says(4, Well, 0, 1)), nil, 0},
-		"slow closes nothing":      {join(says(2, Slow, 0, 1), says(4, Slow, 0, 1)), nil, 0},
-		"it answers here":          {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), func(l *Log) { l.Ended(now-tenth, 1, 0, policy.Acked, tenth) }, 0},
-		"it answered here before":  {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), func(l *Log) { l.Ended(now-3*tenth, 1, 0, policy.Acked, tenth) }, 1},
-		"a server that is no more": {join(says(2, Down, 0, 77), says(4, Down, 0, 77)), nil, 0},
+		"nobody says anything":         {nil, nil, 0},
+		"one alone":                    {says(2, Down, 0, 1, 2), nil, 0},
+		"one alone, in two lives":      {join(says(2, Down, 0, 1), []Report{{Server: 1, Source: 999, Node: 2, Number: 1, Ill: Down}}), nil, 0},
+		"two":                          {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), nil, 1},
+		"two, long ago":                {join(says(2, Down, fresh+1, 1), says(4, Down, fresh+1, 1)), nil, 0},
+		"two find all bad":             {join(says(2, Down, 0, all...), says(4, Down, 0, all...)), nil, 0},
+		"everybody finds all bad":      {join(says(2, Down, 0, all...), says(4, Down, 0, all...), says(6, Down, 0, all...), says(3, Full, 0, all...)), nil, 0},
+		"two find five of eight":       {join(says(2, Down, 0, all[:5]...), says(4, Down, 0, all[:5]...)), nil, 4}, // a half at the most
+		"as many find it well":         {join(says(2, Failing, 0, 1), says(4, Failing, 0, 1), says(6, Well, 0, 1), says(8, Well, 0, 1)), nil, 0},
+		"well before it began":         {join(says(2, Down, 0, 1), says(4, Down, 0, 1), says(6, Well, 5*tenth, 1), says(8, Well, 5*tenth, 1)), nil, 1},
+		"answers again":                {join(says(2, Down, 5*tenth, 1), says(4, Down, 5*tenth, 1), says(3, Down, 5*tenth, 1), says(6, Well, 0, 1), says(8, Well, 0, 1)), nil, 0},
+		"bad in the other zone":        {join(says(3, Losing, 0, 1), says(5, Losing, 0, 1), says(7, Losing, 0, 1), says(2, Well, 0, 1), says(4, Well, 0, 1)), nil, 0},
+		"two wait":                     {join(says(2, Silent, 0, 1), says(4, Silent, 0, 1)), nil, 0},
+		"three wait":                   {join(says(2, Silent, 0, 1), says(4, Silent, 0, 1), says(6, Silent, 0, 1)), nil, 1},
+		"three wait, one is answered":  {join(says(2, Silent, 0, 1), says(4, Silent, 0, 1), says(6, Silent, 0, 1), says(8, Well, 0, 1)), nil, 0},
+		"two found it down, one waits": {join(says(2, Down, 0, 1), says(4, Down, 0, 1), says(6, Silent, 0, 1)), nil, 1},
+		"slow closes nothing":          {join(says(2, Slow, 0, 1), says(4, Slow, 0, 1)), nil, 0},
+		"it answers here":              {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), func(l *Log) { l.Ended(now-tenth, 1, 0, policy.Acked, tenth) }, 0},
+		"it answered here before":      {join(says(2, Down, 0, 1), says(4, Down, 0, 1)), func(l *Log) { l.Ended(now-3*tenth, 1, 0, policy.Acked, tenth) }, 1},
+		"a server that is no more":     {join(says(2, Down, 0, 77), says(4, Down, 0, 77)), nil, 0},
 	} {
 		b, l := NewBook(1, 0), NewLog()
 		l.Follow(list, func(policy.ServerID) policy.Micros { return 0 })
@@ -169,7 +173,7 @@
 		"errors":                      {[]func(*Log){ended(now-2, policy.Errored, 1), ended(now-1, policy.Errored, 1), ended(now, policy.Errored, 1)}, Failing},
 		"turns away":                  {[]func(*Log){ended(now-2, policy.Full, 1), ended(now-1, policy.Full, 1), ended(now, policy.Full, 1)}, Full},
 		"given up is no evidence":     {[]func(*Log){ended(now-1, policy.Acked, tenth), ended(now, policy.Cancelled, 9*tenth)}, Well},
-		"overdue":                     {[]func(*Log){quick, func(l *Log) { l.Sent(now-2*tenth, 1, 0) }}, Down},
+		"overdue":                     {[]func(*Log){quick, func(l *Log) { l.Sent(now-2*tenth, 1, 0) }}, Silent},
 		"overdue, answers meanwhile":  {[]func(*Log){quick, func(l *Log) { l.Sent(now-2*tenth, 1, 0) }, ended(now, policy.Acked, tenth)}, Well},
 		"not yet overdue":             {[]func(*Log){quick, func(l *Log) { l.Sent(now-tenth/2, 1, 0) }}, Well},
 	} {
--- a/internal/fleet/judged/weights.go
+++ b/internal/fleet/judged/weights.go
@@ -8,7 +8,10 @@
 
 // steps are what is left of a server's weight, by the age of the evidence against it in seconds: as that grows old the
 // server is tried more often, by some node, so that news of it comes before all nodes forget at once.
-var steps = [...]float64{1.0 / 32, 1.0 / 16, 1.0 / 4}
+var steps = [...]float64{1.0 / 32, 1.0 / 16, 1.0 / 8, 1.0 / 4, 1.0 / 2}
+
+// tryWeight is what is left of a closed server's weight once one other had an answer: more will try it.
+const tryWeight = 1.0 / 4
 
 // slowWeight is what is left of the weight of a server that is slow for others.
 const slowWeight = 1.0 / 2
@@ -37,6 +40,9 @@
 				continue
 			}
 			w.Part = steps[min(len(steps)-1, int(max(0, now-j.Last)/policy.Second))]
+			if j.Answered > j.Last+refuted {
+				w.Part = max(w.Part, tryWeight)
+			}
 		}
 		all = append(all, w)
 	}
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -71,7 +71,7 @@
 
 const (
 	// mostMembers are kept, those that are gone among them; what would be more is passed over.
-	mostMembers = 4096
+	mostMembers = 2048
 	// keepGone is how long one that is gone is kept, to be asked whether it is back.
 	keepGone = 10 * 60 * policy.Second
 )
--- a/internal/fleet/words/words_test.go
+++ b/internal/fleet/words/words_test.go
@@ -55,6 +55,8 @@
 	case <-time.After(5 * time.Second):
 		t.Fatalf("nothing came: %+v", s.Counts())
 	}
+	for end := time.Now().Add(5 * time.Second); s.Counts().Sent == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
 	if c := s.Counts(); c.Told != 200 || c.Pushed != 2*(100-mostQueued) || c.Nobody != mostQueued || c.Sent != mostQueued {
 		t.Errorf("told: %+v", c)
 	}
--- a/internal/lab/labnode/node.go
+++ b/internal/lab/labnode/node.go
@@ -83,9 +83,14 @@
 func names() map[policy.ServerID]string {
 	out := make(map[policy.ServerID]string)
 	for i := range mostServers {
-		h := fnv.New64a()
-		fmt.Fprint(h, registry.ID(i))
-		out[policy.ServerID(h.Sum64()>>16)] = registry.ID(i)
+		out[ServerID(i)] = registry.ID(i)
 	}
 	return out
 }
+
+// ServerID is the number that nodes make of a server's text id.
+func ServerID(place int) policy.ServerID {
+	h := fnv.New64a()
+	fmt.Fprint(h, registry.ID(place))
+	return policy.ServerID(h.Sum64() >> 16)
+}
--- a/internal/lab/ledger/result.go
+++ b/internal/lab/ledger/result.go
@@ -68,6 +68,7 @@
 	Datagrams     float64 `json:"datagrams_a_node_and_second"`
 	Streams       float64 `json:"streams_a_node_and_second"`
 	StreamedBytes float64 `json:"streamed_bytes_a_node_and_second"`
+	Closed        float64 `json:"most_closed_by_hearsay"` // part of a node's servers, as nodes say when asked
 }
 
 // Kind is one category's part.
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"canvasrouter/internal/fleet"
 	"canvasrouter/internal/lab/labnode"
 	"canvasrouter/internal/lab/ledger"
 	"canvasrouter/internal/lab/load"
@@ -25,7 +26,7 @@
 	"canvasrouter/internal/lab/scenario"
 	"canvasrouter/internal/lab/together"
 	"canvasrouter/internal/node"
-	"canvasrouter/internal/standin/fleet"
+	standin "canvasrouter/internal/standin/fleet"
 	"canvasrouter/internal/standin/registry"
 	"canvasrouter/internal/standin/relay"
 	"canvasrouter/internal/standin/server"
@@ -63,6 +64,8 @@
 	nodes    []*balancer
 	twins    map[int]*balancer // second processes, by the node whose name they have
 	rig      *together.Rig
+	liars    []*together.Liar
+	closed   atomic.Int64 // the largest part of a node's servers that hearsay closed, as nodes say, in thousandths
 	lag      *together.Lag
 	registry []*registry.Service
 	begin    policy.Micros
@@ -142,9 +145,45 @@
 		t.Streams += float64(now.SentStreams-was.SentStreams) / nodes / seconds
 		t.StreamedBytes += float64(now.StreamBytes-was.StreamBytes) / nodes / seconds
 	}
+	t.Closed = float64(r.closed.Load()) / 1000
 	return t
 }
 
+// look asks a few nodes each second what part of their servers hearsay has closed. It explains a run and judges nothing.
+func (r *run) look(ctx context.Context) {
+	if r.Scenario.Fleet == nil {
+		return
+	}
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for turn := 0; ; turn++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for i := range 5 {
+			n := r.nodes[(turn*5+i)%r.Scenario.Tiers[0].Nodes]
+			if !n.hears {
+				continue
+			}
+			view, err := fleet.Ask(ctx, r.rig.Place(n.beside).Control)
+			if err != nil {
+				continue // it is down, or stopped
+			}
+			closed := 0
+			for _, s := range view.Servers {
+				if s.Part < 1.0/3 {
+					closed++
+				}
+			}
+			if part := int64(1000 * closed / max(1, view.Listed)); part > r.closed.Load() {
+				r.closed.Store(part)
+			}
+		}
+	}
+}
+
 // Serve starts the fleet and the nodes without a load of its own, and keeps them until ctx is done. Servers take any
 // op. Ready is told the nodes' addresses.
 func Serve(ctx context.Context, o Options, ready func(nodes []string)) error {
@@ -316,6 +355,9 @@
 	for _, s := range r.registry {
 		s.Close()
 	}
+	for _, l := range r.liars {
+		l.Close()
+	}
 	r.rig.Close()
 	if r.lag != nil {
 		r.lag.End()
@@ -335,6 +377,7 @@
 	var work, steps sync.WaitGroup
 	steps.Go(func() { r.troubles(ctx, &steps) })
 	ticks, stopTicks := context.WithCancel(ctx)
+	steps.Go(func() { r.look(ticks) })
 	if r.Tick != nil {
 		go r.tick(ticks)
 	}
@@ -462,7 +505,7 @@
 }
 
 // memoryOf is that of a category's group, or nil. The lock is held.
-func (r *run) memoryOf(category int, m scenario.Machine) *fleet.Memory {
+func (r *run) memoryOf(category int, m scenario.Machine) *standin.Memory {
 	return r.memories.Of(r.Scenario, category, m, r.account.Tolerance())
 }
 
--- a/internal/lab/live/troubles.go
+++ b/internal/lab/live/troubles.go
@@ -8,11 +8,14 @@
 	"sync"
 	"time"
 
+	"canvasrouter/internal/fleet/judged"
+	"canvasrouter/internal/lab/labnode"
 	"canvasrouter/internal/lab/ledger"
 	"canvasrouter/internal/lab/load"
 	"canvasrouter/internal/lab/scenario"
 	"canvasrouter/internal/standin/registry"
 	"canvasrouter/internal/standin/server"
+	"canvasrouter/policy"
 )
 
 // troubles carries out the plan in time. What takes a while goes on beside it.
@@ -99,6 +102,8 @@
 		if twin := r.twins[step.Node]; twin != nil {
 			check(twin.kill())
 		}
+	case scenario.LieDown, scenario.LieWell:
+		check(r.lie(step))
 	case scenario.BetweenOn, scenario.BetweenOff:
 		r.rig.Carry(step)
 	case scenario.OneSided:
@@ -121,6 +126,29 @@
 	return twin, nil
 }
 
+// lie lets one more member say the same of every server, to the end of the run.
+func (r *run) lie(step *scenario.Step) error {
+	if !r.nodes[step.Node].hears {
+		return nil // nobody would hear it
+	}
+	ill := map[scenario.Verb]judged.Ill{scenario.LieDown: judged.Down, scenario.LieWell: judged.Well}[step.Verb]
+	place, err := r.rig.Further(step.Node)
+	if err != nil {
+		return err
+	}
+	var servers []policy.ServerID
+	for i, m := range r.plan.Machines {
+		if m.Tier == 0 {
+			servers = append(servers, labnode.ServerID(i))
+		}
+	}
+	liar, err := r.rig.NewLiar(place, r.Scenario.Tiers[0].Nodes, ill, servers)
+	if err == nil {
+		r.liars = append(r.liars, liar)
+	}
+	return err
+}
+
 // odd is the half of the first tier's nodes that a one-sided trouble hits.
 func (r *run) odd(try ledger.TryID) bool {
 	node, known := r.account.NodeOf(try)
--- a/internal/lab/scenario/plan.go
+++ b/internal/lab/scenario/plan.go
@@ -34,6 +34,8 @@
 	NodeMove  // starts under its name at another address for nodes
 	TwinStart // a second process of Node's name
 	TwinEnd
+	LieDown // a member that says so of every server begins, beside Node
+	LieWell
 	BetweenOn // the fault Between begins
 	BetweenOff
 	ClockStep // by Until, which may be negative
@@ -244,6 +246,10 @@
 		for _, i := range t.hit(nodes, rng) {
 			both(Step{Verb: TwinStart, Node: i}, Step{Verb: TwinEnd, Node: i})
 		}
+	case "liar-down":
+		step(Step{At: at, Verb: LieDown})
+	case "liar-well":
+		step(Step{At: at, Verb: LieWell})
 	case "clock-step":
 		both(Step{Verb: ClockStep, Until: policy.Micros(t.Factor * float64(policy.Second))}, Step{Verb: ClockStep})
 	case "slow-way":
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -234,6 +234,8 @@
 	"node-empty":     "the nodes die, and start anew after the time with no list at all",
 	"node-move":      "the nodes die, and start anew after the time under their names at other addresses for nodes",
 	"node-twin":      "a second process starts under each node's name and number, at other addresses; it ends after the time",
+	"liar-down":      "one more member says to everybody that every server is down",
+	"liar-well":      "one more member says to everybody that every server is well",
 	"clock-step":     "clients' clocks step: the time left that they send is factor seconds too long, or too short",
 }
 
@@ -241,7 +243,7 @@
 var SimulatedOnly = []string{"failing", "poison", "slow-way"}
 
 // LiveOnly are the kinds that need processes.
-var LiveOnly = []string{"node-pause", "node-empty", "node-move", "node-twin"}
+var LiveOnly = []string{"node-pause", "node-empty", "node-move", "node-twin", "liar-down", "liar-well"}
 
 // Expect is what must hold. A bound that is left out is not judged; the four rules always are.
 type Expect struct {
@@ -485,7 +487,7 @@
 	}
 	for i, t := range s.Troubles {
 		at := fmt.Sprintf("trouble.%d.", i)
-		if (t.Kind == "node-move" || t.Kind == "node-twin") && s.Fleet == nil {
+		if slices.Contains([]string{"node-move", "node-twin", "liar-down", "liar-well"}, t.Kind) && s.Fleet == nil {
 			bad(at+"kind", "there is no [fleet]: a node has no address for nodes")
 		}
 		if TroubleKinds[t.Kind] == "" {
--- /dev/null
+++ b/internal/lab/together/liar.go
@@ -0,0 +1,82 @@
+package together
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/fleet/judged"
+	"canvasrouter/internal/fleet/members"
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/node"
+	"canvasrouter/policy"
+)
+
+// Liar is a member that takes no ops and says the same of every server to everybody, again and again: as bad a neighbour as
+// the frames allow.
+type Liar struct {
+	way     *way.Way
+	members *members.Members
+	done    chan struct{}
+	over    sync.WaitGroup
+}
+
+const lieEvery = 100 * time.Millisecond
+
+// NewLiar joins at a place as one more node, and lies of these servers until Close.
+func (g *Rig) NewLiar(place, nodes int, ill judged.Ill, servers []policy.ServerID) (*Liar, error) {
+	at := g.Place(place)
+	life := way.LifeID(rand.Uint64())
+	w, err := way.Open(way.Options{Fleet: "canvasrouter", Listen: at.Listen, Advertise: at.Advertise, Life: life, Pace: 1 << 20}, zerolog.Nop())
+	if err != nil {
+		return nil, err
+	}
+	l := &Liar{way: w, done: make(chan struct{})}
+	own := members.Member{Name: "liar-" + ill.String(), Life: life, Number: nodes + int(ill), Addr: at.Advertise}
+	l.members, err = members.Start(members.Options{Own: own, Nodes: nodes + 8, Join: []netip.AddrPort{g.Place(0).Advertise}}, w, node.NewClock(), zerolog.Nop())
+	if err != nil {
+		w.Close()
+		return nil, err
+	}
+	w.Run()
+	l.over.Go(func() { l.lie(judged.SourceID(life), uint16(own.Number), ill, servers) })
+	return l, nil
+}
+
+func (l *Liar) lie(source judged.SourceID, number uint16, ill judged.Ill, servers []policy.ServerID) {
+	ticker := time.NewTicker(lieEvery)
+	defer ticker.Stop()
+	for n := uint32(1); ; n++ {
+		select {
+		case <-l.done:
+			return
+		case <-ticker.C:
+		}
+		var reports []judged.Report
+		for _, s := range servers {
+			for zone := range uint8(2) {
+				reports = append(reports, judged.Report{Server: s, Source: source + judged.SourceID(zone), Number: n, Ill: ill, Zone: zone, Node: number,
+					Span: 500 * policy.Millisecond})
+			}
+		}
+		for len(reports) > 0 {
+			part := reports[:min(len(reports), judged.Fit(way.MostPayload))]
+			reports = reports[len(part):]
+			payload := judged.Append(nil, part)
+			for _, m := range l.members.There() {
+				l.way.Send(m.Addr, way.Judgements, payload)
+			}
+		}
+	}
+}
+
+// Close ends it without a word.
+func (l *Liar) Close() {
+	close(l.done)
+	l.over.Wait()
+	l.members.Close()
+	l.way.Close()
+}
--- a/internal/lab/together/processes_test.go
+++ b/internal/lab/together/processes_test.go
@@ -142,9 +142,16 @@
 	})
 	p.start(t, span(0, nodes)...)
 	p.agree(t, "joined on bad ways", span(0, nodes)...)
-	v, err := p.View(t.Context(), 1)
-	if err != nil || v.Ways.Spoilt == 0 || v.Ways.Doubled == 0 || v.Ways.Panicked > 0 {
-		t.Errorf("%v: bad frames were counted as %+v", err, v.Ways)
+	spoilt, doubled := int64(0), int64(0)
+	for _, place := range span(0, nodes) {
+		v, err := p.View(t.Context(), place)
+		if err != nil || v.Ways.Panicked > 0 {
+			t.Fatalf("%v: place %d: %+v", err, place, v.Ways)
+		}
+		spoilt, doubled = spoilt+v.Ways.Spoilt, doubled+v.Ways.Doubled
+	}
+	if spoilt == 0 || doubled == 0 {
+		t.Errorf("%d bad frames and %d doubled ones were counted", spoilt, doubled)
 	}
 	p.Relay.End(bad)
 	cut := p.Relay.Begin(func(from, to int) relay.Way { return relay.Way{Cut: (from < 3) != (to < 3)} })
--- a/internal/lab/together/together.go
+++ b/internal/lab/together/together.go
@@ -34,7 +34,8 @@
 	// A place beyond the nodes' own stands beside a node for the faults: nodes are counted on from 0 again.
 	further, most := make(map[int]int), 0
 	for _, step := range plan.Steps {
-		if step.Verb == scenario.TwinStart || step.Verb == scenario.NodeMove {
+		switch step.Verb {
+		case scenario.TwinStart, scenario.NodeMove, scenario.LieDown, scenario.LieWell:
 			further[step.Node]++
 			most = max(most, further[step.Node])
 		}
