Twelve changes to the real code, each seen by a test; weights that say nothing of the subscription

internal/fleet/faults_test.go lays one changed file over the real one and runs the test that must fail: one witness, no bound, a copy as news, lives as witnesses, own answers ignored, doubles counted, spoilt frames read, late words, the newest word dropped, the number's first holder, weights of drained servers, ListWeighed taken for a list. One was not seen at first: the table's test held a number's holder against nothing.

--- /dev/null
+++ b/internal/fleet/faults_test.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// Each of these changes to the real code is seen by a test that is green without it. The changed file is laid over the real
+// one for one build; nothing in the tree changes.
+func TestFaultsAreSeen(t *testing.T) {
+	for name, c := range map[string]struct{ file, was, is, pkg, run string }{
+		"one node closes a server":             {"judged/judged.go", "witnesses = 2\n", "witnesses = 1\n", "internal/fleet/judged", "TestWeights"},
+		"hearsay closes everything":            {"judged/judged.go", "Part = 1.0 / 2\n", "Part = 1.0\n", "internal/fleet/judged", "TestWeights|TestFleet"},
+		"a copy is news":                       {"judged/judged.go", "k.Number > all[i].Number", "k.Number >= all[i].Number", "internal/fleet/judged", "TestMerge"},
+		"two lives are two witnesses":          {"judged/judged.go", "latest[k.Node]", "latest[uint16(k.Source)]", "internal/fleet/judged", "TestWeights"},
+		"own answers don't count":              {"judged/weights.go", "answered > j.Since+margin", "answered < 0", "internal/fleet/judged", "TestWeights"},
+		"a doubled frame counts twice":         {"way/frame.go", "if *word&mask != 0 {", "if false {", "internal/fleet/way", "TestFirst"},
+		"spoilt frames are read":               {"way/frame.go", "case binary.BigEndian.Uint32(b[sumAt:]) != sum(seal, b[:sumAt], b[headLen:]):", "case false:", "internal/fleet/way", "TestFrames"},
+		"words that came late count":           {"words/words.go", "case late > stale:", "case late < 0:", "internal/fleet/words", "TestWords"},
+		"the newest word is dropped":           {"words/words.go", "q.first = (q.first + 1) % mostQueued\n\t\tq.n--", "q.n--", "internal/fleet/words", "TestWords"},
+		"a number stays with who had it first": {"members/table.go", "cmp.Compare(b.joined, a.joined)", "cmp.Compare(a.joined, b.joined)", "internal/fleet/members", "TestTable"},
+		"weights of drained servers change":    {"../node/peers.go", "e.State == policy.Ready && was != is", "was != is", "internal/node", "TestPeers"},
+		"weights look like a list that came":   {"../../policy/policy.go", "case !r.Ask || form == ListWeighed:", "case !r.Ask:", "policy", "TestWeighed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			path, err := filepath.Abs(c.file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw, err := os.ReadFile(path)
+			if err != nil || strings.Count(string(raw), c.was) == 0 {
+				t.Fatalf("%v: %s has no %q", err, c.file, c.was)
+			}
+			dir := t.TempDir()
+			changed, overlay := filepath.Join(dir, "changed.go"), filepath.Join(dir, "overlay.json")
+			laid, _ := json.Marshal(map[string]any{"Replace": map[string]string{path: changed}})
+			if err := os.WriteFile(changed, []byte(strings.ReplaceAll(string(raw), c.was, c.is)), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if err := os.WriteFile(overlay, laid, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			out, err := exec.Command("go", "test", "-count=1", "-overlay", overlay, "-run", c.run, "canvasrouter/"+c.pkg).CombinedOutput()
+			if err == nil || !strings.Contains(string(out), "--- FAIL") {
+				t.Errorf("not seen: %v: %s", err, out)
+			}
+		})
+	}
+}
--- a/internal/fleet/members/table_test.go
+++ b/internal/fleet/members/table_test.go
@@ -25,29 +25,29 @@
 		return strings.Join(all, "; ")
 	}
 	for i, step := range []struct {
-		changes []Change
-		want    string
-		holder  way.LifeID // of number 1
+		do     func() []Change
+		want   string
+		holder way.LifeID // of number 1
 	}{
-		{table.Heard(1, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "member is there", 11},
-		{table.Heard(2, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "", 11},
-		{table.Heard(3, Member{Name: "n1", Life: 12, Number: 1, Addr: addr(2)}), "member is there; two processes have one name", 12},
-		{table.Gone(4, 11, Dead), "member is dead", 12},
-		{table.Gone(5, 11, Dead), "", 12},
-		{table.Heard(6, Member{Name: "n2", Life: 13, Number: 1, Addr: addr(3)}), "member is there; two nodes have one number", 13},
-		{table.Gone(7, 13, Left), "member has left", 12},
-		{table.Heard(8, Member{Name: "n7", Life: 14, Number: 7, Addr: addr(4)}), "member is there; number passes the nodes that the settings tell of", 12},
-		{table.Gone(9, 12, Dead), "member is dead", 0},
-		{table.Heard(10, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}), "member is back", 11},
-		{table.Heard(11, Member{Name: "n0", Life: 15, Number: 0, Addr: addr(5)}), "member is there; two processes have one name", 11},
-		{table.Heard(12, Member{Name: "n0", Life: 100, Number: 0, Addr: addr(1)}), "", 11}, // itself
+		{func() []Change { return table.Heard(1, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "member is there", 11},
+		{func() []Change { return table.Heard(2, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "", 11},
+		{func() []Change { return table.Heard(3, Member{Name: "n1", Life: 12, Number: 1, Addr: addr(2)}) }, "member is there; two processes have one name", 12},
+		{func() []Change { return table.Gone(4, 11, Dead) }, "member is dead", 12},
+		{func() []Change { return table.Gone(5, 11, Dead) }, "", 12},
+		{func() []Change { return table.Heard(6, Member{Name: "n2", Life: 13, Number: 1, Addr: addr(3)}) }, "member is there; two nodes have one number", 13},
+		{func() []Change { return table.Gone(7, 13, Left) }, "member has left", 12},
+		{func() []Change { return table.Heard(8, Member{Name: "n7", Life: 14, Number: 7, Addr: addr(4)}) }, "member is there; number passes the nodes that the settings tell of", 12},
+		{func() []Change { return table.Gone(9, 12, Dead) }, "member is dead", 0},
+		{func() []Change { return table.Heard(10, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "member is back", 11},
+		{func() []Change { return table.Heard(11, Member{Name: "n0", Life: 15, Number: 0, Addr: addr(5)}) }, "member is there; two processes have one name", 11},
+		{func() []Change { return table.Heard(12, Member{Name: "n0", Life: 100, Number: 0, Addr: addr(1)}) }, "", 11}, // itself
 	} {
-		if got := texts(step.changes); got != step.want {
+		if got := texts(step.do()); got != step.want {
 			t.Errorf("step %d: %q, not %q", i, got, step.want)
 		}
-	}
-	if m, _ := table.Holder(1); m.Life != 11 {
-		t.Errorf("number 1 is with %d", m.Life)
+		if m, _ := table.Holder(1); m.Life != step.holder {
+			t.Errorf("step %d: number 1 is with %d, not %d", i, m.Life, step.holder)
+		}
 	}
 	// Asked are those to join by and those found dead, but not where somebody is, and not those that left.
 	ask := table.Ask([]netip.AddrPort{addr(1), addr(4), addr(9)})
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -24,7 +24,7 @@
 	last   policy.Micros
 }
 
-var kinds = [...]string{"arrived", "ended", "abandoned", "began", "woken", "probed", "list"}
+var kinds = [...]string{"arrived", "ended", "abandoned", "began", "woken", "probed", "list", "said"}
 
 func (m *module) Step(now policy.Micros, in *policy.Input) []policy.Effect {
 	if now < m.last {
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -100,7 +100,7 @@
 	for _, e := range entries {
 		text = append(text, name(e.Server)+[]string{"", " draining", " gone"}[e.State])
 	}
-	s.note("list %s: %s", []string{"changes", "whole", "cached", "failed"}[form], strings.Join(text, ", "))
+	s.note("list %s: %s", []string{"changes", "whole", "cached", "failed", "weighed"}[form], strings.Join(text, ", "))
 	s.step(Input{Kind: ListCame, Form: form, List: entries})
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -733,3 +733,21 @@
 		t.Errorf("kept: %d servers, %d by id, %d ops, %d by id", len(n.servers), len(n.byID), len(n.ops), len(n.byOp))
 	}
 }
+
+// Weights that others' judgement changes say nothing of the subscription: a node whose list service is away still asks, and
+// no server goes or comes by them.
+func TestWeighed(t *testing.T) {
+	s := start(t, RegistryRule{Ask: true, Within: 10 * Second}, safe)
+	s.list(ListCached, servers(3))
+	s.list(ListFailed, nil)
+	next := s.node.registry.next
+	little := servers(3)[1:2]
+	little[0].Weight = 1.0 / 32
+	s.list(ListWeighed, little)
+	if got := s.node.registry.next; got == 0 || got != next {
+		t.Errorf("the next call is at %d, not %d", got, next)
+	}
+	if n := len(s.node.ring); n != 3 || s.node.servers[s.node.byID[2]].Weight != 1.0/32 || s.node.servers[s.node.byID[1]].Weight != 1 {
+		t.Errorf("%d servers: %+v", n, s.node.servers)
+	}
+}
