--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -9,9 +10,17 @@
 	"testing"
 )
 
+var faults = flag.Bool("faults", false, "change the real code and look whether a test sees it")
+
 // Each of these changes to the real code is seen by a test that is green without it. The changed file is laid over the real
 // one for one build; nothing in the tree changes.
+//
+// Danger: builds beside tests that measure time make nodes look late. So this is asked for by -faults alone, after the
+// others, as .ci/run does.
 func TestFaultsAreSeen(t *testing.T) {
+	if !*faults {
+		return
+	}
 	for name, c := range map[string]struct{ file, was, is, pkg, run string }{
 		"one node closes a server":             {"judged/judged.go", "witnesses = 2\n", "witnesses = 1\n", "internal/fleet/judged", "TestWeights"},
 		"hearsay closes everything":            {"judged/judged.go", "Part = 1.0 / 2\n", "Part = 1.0\n", "internal/fleet/judged", "TestWeights|TestFleet"},
@@ -27,7 +36,6 @@
 		"weights look like a list that came":   {"../../policy/policy.go", "case !r.Ask || form == ListWeighed:", "case !r.Ask:", "policy", "TestWeighed"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
 			path, err := filepath.Abs(c.file)
 			if err != nil {
 				t.Fatal(err)
@@ -45,6 +53,7 @@
 			if err := os.WriteFile(overlay, laid, 0o600); err != nil {
 				t.Fatal(err)
 			}
+			t.Parallel()
 			out, err := exec.Command("go", "test", "-count=1", "-overlay", overlay, "-run", c.run, "canvasrouter/"+c.pkg).CombinedOutput()
 			if err == nil || !strings.Contains(string(out), "--- FAIL") {
 				t.Errorf("not seen: %v: %s", err, out)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -156,6 +156,12 @@
 	defer f.mu.Unlock()
 	f.list = append(f.list[:0], list...)
 	f.own.Follow(f.list, func(s policy.ServerID) policy.Micros { return f.started[s] })
+	now := f.clock.Now()
+	for _, e := range f.list {
+		if was, known := f.started[e.Server]; known && was != e.Started {
+			f.book.Anew(now, e.Server)
+		}
+	}
 	clear(f.started)
 	f.ids = f.ids[:0]
 	for _, e := range f.list {
--- a/internal/fleet/judged/judged_test.go
+++ b/internal/fleet/judged/judged_test.go
@@ -81,6 +81,44 @@
 	}
 }
 
+// What was said of a server before it started anew is of another process, whenever it comes.
+func TestAnew(t *testing.T) {
+	const tenth = policy.Second / 10
+	all, _ := servers(4)
+	b, l := NewBook(1, 0), NewLog()
+	old := []Report{{Server: 1, Source: 2, Node: 2, Number: 5, Ill: Down}, {Server: 1, Source: 3, Node: 3, Number: 5, Ill: Down}}
+	b.Hear(now-tenth, old)
+	b.Anew(now, 1)
+	for i := range old {
+		old[i].Number, old[i].Age = 6, 2*tenth
+	}
+	if b.Hear(now+tenth, old); len(Weights(now+tenth, all, b, l)) != 0 {
+		t.Error("what was said of the process before counts")
+	}
+	for i := range old {
+		old[i].Number, old[i].Age = 7, 0
+	}
+	if b.Hear(now+tenth, old); len(Weights(now+tenth, all, b, l)) != 1 {
+		t.Error("what is said of the new one does not count")
+	}
+}
+
+// The worst that a beat may find: as many servers as are held, each bad by as many as are kept.
+func BenchmarkWeights(b *testing.B) {
+	all, list := servers(mostServers)
+	book, log := NewBook(1, 0), NewLog()
+	log.Follow(list, func(policy.ServerID) policy.Micros { return 0 })
+	for i, server := range all {
+		for source := range mostSources {
+			node := (i + source*7) % 100
+			book.Hear(now, []Report{{Server: server, Source: SourceID(node + 2), Node: uint16(node), Zone: uint8(node % 2), Number: 1, Ill: Down}})
+		}
+	}
+	for b.Loop() {
+		Weights(now, all, book, log)
+	}
+}
+
 func servers(n int) (all []policy.ServerID, list []policy.Entry) {
 	for i := range n {
 		all = append(all, policy.ServerID(i+1))
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -23,6 +23,9 @@
 	// askEvery is how often a node asks one that it thinks gone, or one to join by that is not there. A cut that is over is
 	// found by it: members ask only those that they think alive.
 	askEvery = time.Second
+	// young is how long after its start a node also asks those that it knows for all that they know, one each second or so.
+	// Danger: where many start together each joins by one that knows few yet; what gossip misses then came 30 s later.
+	young = 10 * time.Second
 	// leaveWait is how long a node waits until its leaving has gone out.
 	leaveWait = 300 * time.Millisecond
 	packets   = 256 // that may wait to be worked
@@ -73,7 +76,7 @@
 	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
 	config.AwarenessMaxMultiplier = 3 // Danger: a node that is cut off finds itself ill, and would look for the others ever more slowly
 	config.GossipInterval = 100 * time.Millisecond
-	config.PushPullInterval = 15 * time.Second
+	config.PushPullInterval = 5 * time.Second // the library makes it longer with the members
 	config.TCPTimeout = 2 * time.Second
 	list, err := memberlist.Create(config)
 	if err != nil {
@@ -165,6 +168,7 @@
 // all ask the same one at once.
 func (m *Members) ask() {
 	rng := rand.New(rand.NewPCG(m.options.Seed, uint64(m.options.Own.Life)))
+	begun := time.Now()
 	for wait := time.Duration(0); ; wait = askEvery/2 + time.Duration(rng.Int64N(int64(askEvery))) {
 		select {
 		case <-m.done:
@@ -175,6 +179,9 @@
 		m.table.Forget(m.clock.Now())
 		all := m.table.Ask(m.options.Join)
 		m.mu.Unlock()
+		if there := m.There(); time.Since(begun) < young && len(there) > 0 && (len(all) == 0 || rng.IntN(2) == 0) {
+			all = []netip.AddrPort{there[rng.IntN(len(there))].Addr}
+		}
 		if len(all) == 0 {
 			continue
 		}
--- a/internal/lab/live/together_test.go
+++ b/internal/lab/live/together_test.go
@@ -40,6 +40,8 @@
 		{Kind: "node-empty", At: second, For: second, Count: 1, Tier: "front"},
 		{Kind: "node-move", At: 2 * second, For: second / 2, Count: 1, Tier: "front"},
 		{Kind: "node-twin", At: second / 2, For: 3 * second, Count: 2, Tier: "front"},
+		{Kind: "liar-down", At: second / 2, Tier: "front"}, // one that says otherwise of every server: a drain stays one
+		{Kind: "liar-well", At: second / 2, Tier: "front"},
 		{Kind: "drain", At: second * 3 / 2, For: second, Count: 1, Tier: "front"},
 	}
 	s.Between = []scenario.Between{{Kind: "groups", At: second, For: 2 * second, Parts: []int{1, 2}}}
