Read once more: a function nobody called, a method that needs no receiver, a result nobody used

way.Refused was never called; judged.answered read nothing of the book; a test's count gave a second value that was always empty. No behaviour changes.

--- a/internal/fleet/judged/judged.go
+++ b/internal/fleet/judged/judged.go
@@ -301,7 +301,7 @@
 			latest[k.Node] = k
 		}
 	}
-	answered := b.answered(latest)
+	refutes := answered(latest)
 	last := policy.Micros(0) // answer to anybody
 	for _, k := range latest {
 		if k.Ill == Well {
@@ -310,7 +310,7 @@
 	}
 	// Danger: in a jam pushes are late everywhere, and a server that answers others is not silent.
 	counted := func(k *kept) bool {
-		return (k.Ill != Down || answered <= k.at+refuted) && (k.Ill != Silent || last <= k.at-k.Span+margin)
+		return (k.Ill != Down || refutes <= k.at+refuted) && (k.Ill != Silent || last <= k.at-k.Span+margin)
 	}
 	var ills [kinds]int
 	for _, k := range latest {
@@ -340,7 +340,7 @@
 }
 
 // answered is when a server had answered as many others as would close it; 0: it hasn't.
-func (b *Book) answered(latest map[uint16]*kept) policy.Micros {
+func answered(latest map[uint16]*kept) policy.Micros {
 	var first, second policy.Micros
 	for _, k := range latest {
 		if k.Ill == Well && k.at > first {
--- a/internal/fleet/way/way.go
+++ b/internal/fleet/way/way.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -295,8 +294,5 @@
 	return w.stream(c.(*net.TCPConn)), nil
 }
 
-// Refused says whether nobody listens where a stream was to go: the process is not there.
-func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // Streams are those that others open. Whoever takes one closes it.
 func (w *Way) Streams() <-chan net.Conn { return w.streams }
--- a/internal/lab/together/together_test.go
+++ b/internal/lab/together/together_test.go
@@ -12,7 +12,7 @@
 // Whom a fault hits, and in which direction, is as its kind says; a place beyond the nodes' own goes with its node.
 func TestWays(t *testing.T) {
 	const nodes = 30
-	count := func(b scenario.Between) (cut int, apart [3]bool) {
+	count := func(b scenario.Between) (cut int) {
 		ways := Ways(&b, nodes, rand.New(rand.NewPCG(1, 2)))
 		for from := range nodes {
 			for to := range nodes {
@@ -25,7 +25,7 @@
 				}
 			}
 		}
-		return cut, apart
+		return cut
 	}
 	for _, c := range []struct {
 		fault scenario.Between
@@ -40,7 +40,7 @@
 		{scenario.Between{Kind: "loss", Factor: 0.2}, 30 * 29},
 		{scenario.Between{Kind: "slow", Factor: 0.2, Count: 1}, 2 * 29},
 	} {
-		if got, _ := count(c.fault); got != c.want {
+		if got := count(c.fault); got != c.want {
 			t.Errorf("%+v: acts on %d pairs, not %d", c.fault, got, c.want)
 		}
 	}
