A push that nobody waits for any more is kept back while nothing of it is written

Read, and forced on sockets: http.Transport waits for a connection, the budget for room, the actor for its mailbox; the only way to call such a push back was the module's Cancel, which is not sent where settings do not permit it (policy.drop), and comes only after the actor has read of the leaving. What had never been written was written then, for nobody. Ruled out: the module holds no op back (it pushes or nacks in the same step).

Change: a push has one word, unsent, begun or kept back (node.Push.Begin, asked by servers.conn right before the first byte). The actor keeps back what is unsent once its op is settled, and when its server drains, is gone or started anew; a client that has left is known to the carrier before the actor reads of it. What was kept back ends as moot. A push that timed out unsent is told as never connected: it has surely not run, and an op that must not run twice may go on.

Found by reading, same lines: a server that answered before it had read the whole, and broke then, was told as never run (passage.failure); it is a reset now.

--- a/internal/lab/sim/balancer.go
+++ b/internal/lab/sim/balancer.go
@@ -227,6 +227,7 @@
 func (b *balancer) Push(p *node.Push) {
 	r := b.run
 	h := b.byRequest[p.Request]
+	p.Begin() // simulated connections are up at once
 	to, known := r.byID[p.Server]
 	f := &flight{node: b, handle: p, hand: h, push: -1}
 	b.flights = append(b.flights, f)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"maps"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -48,6 +51,7 @@
 	open    int           // of them not settled
 	excess  int           // nacked for want of sockets since that was
 	told    policy.Micros // in the log
+	until   policy.Micros // every op is answered by then; 0: the process goes on
 	last    policy.OpID
 	now     policy.Micros // of the last step
 	timers  timers
@@ -57,6 +61,7 @@
 type (
 	arrived struct{ op *Op }
 	left    struct{ op *Op }
+	endBy   struct{ at policy.Micros }
 	ended   struct {
 		push   *Push
 		result Result
@@ -80,7 +85,15 @@
 func (n *Node) Arrive(op *Op) { n.send(arrived{op}) }
 
 // Abandon says that the op's client has left. The answer still comes, to be thrown away.
-func (n *Node) Abandon(op *Op) { n.send(left{op}) }
+//
+// Danger: the mailbox may be long, and what stands in it before this would be pushed for nobody.
+func (n *Node) Abandon(op *Op) {
+	op.gone.Store(true)
+	n.send(left{op})
+}
+
+// EndBy says that the process ends soon: what is in hand, and what comes yet, is answered by then.
+func (n *Node) EndBy(at policy.Micros) { n.send(endBy{at}) }
 
 // Ended ends a push.
 func (n *Node) Ended(push *Push, result Result) { n.send(ended{push, result, n.clock.Now()}) }
@@ -205,6 +218,8 @@
 		n.arrive(m.op)
 	case left:
 		n.abandon(m.op, Left)
+	case endBy:
+		n.endAll(m.at)
 	case ended:
 		n.end(m.push, m.result, m.at-m.push.sent)
 	case *List:
@@ -236,12 +251,19 @@
 		n.settle(op, Answer{Verdict: Nacked}) // nothing of it has run, and its category's number may be another's by now
 		return
 	}
+	if op.gone.Load() {
+		n.settle(op, Answer{Verdict: Left}) // nobody waits for it, and the module never hears of it
+		return
+	}
 	op.of.ops++
 	for n.last++; n.last == 0 || n.ops[n.last] != nil; n.last++ {
 		// 0 is the token of the module's own beat, and an id in hand is not given twice.
 	}
 	op.id = n.last
 	n.ops[op.id] = op
+	if n.until > 0 {
+		n.endOp(op)
+	}
 	// The module answers well before, or when a push times out at the very end; this is the end of the wait
 	// should it ever not.
 	op.overdue = n.timers.set(op.NotAfter+op.of.Options.Slack, func() {
@@ -256,6 +278,34 @@
 		NotAfter: op.NotAfter, Repeated: op.Repeated})
 }
 
+// endAll gives every op in hand its end by a moment.
+//
+// Danger: the kill at a planned restart does not wait for long TTLs; what it finds unanswered is lost. And ops read
+// before the restart was asked for may arrive after it.
+func (n *Node) endAll(at policy.Micros) {
+	n.until = at
+	for _, id := range slices.Sorted(maps.Keys(n.ops)) {
+		n.endOp(n.ops[id])
+	}
+}
+
+// endOp nacks an op at the process's end where a new try surely does no harm, and dead-letters it otherwise.
+func (n *Node) endOp(op *Op) {
+	if op.settled || op.NotAfter+op.of.Options.Slack <= n.until {
+		return
+	}
+	n.timers.set(n.until, func() {
+		for _, push := range op.pushes {
+			op.ran = op.ran || !push.ended && !push.keepBack()
+		}
+		if op.ran {
+			n.abandon(op, DeadLettered)
+		} else {
+			n.abandon(op, Nacked)
+		}
+	})
+}
+
 // abandon settles an op without the module and tells it.
 func (n *Node) abandon(op *Op, verdict Verdict) {
 	if op.settled {
@@ -274,7 +324,24 @@
 		return
 	}
 	op := push.op
+	switch result.Outcome {
+	case policy.TimedOut, policy.Cancelled:
+		// Danger: a push that never got its connection is no doubt about what ran; told as a time-out, it would keep an
+		// op that must not run twice from going on, or from being nacked.
+		switch called := push.KeptBack(); {
+		case called || op.settled && push.keepBack():
+			result.Outcome = policy.Moot
+		case push.keepBack():
+			result.Outcome = policy.ConnectFailed
+		}
+	}
 	push.ended = true
+	if !policy.NeverRan(result.Outcome) {
+		op.ran = true
+	}
+	if op.gone.Load() {
+		n.settle(op, Answer{Verdict: Left}) // or the module would push it again
+	}
 	op.out--
 	n.timers.stop(push.timeout)
 	push.cancel()
@@ -308,11 +375,38 @@
 	if n.peers != nil {
 		n.peers.Follow(n.list)
 	}
+	n.callBack()
 	for _, g := range n.generations { // a drain binds all that still have ops in hand
 		n.step(g, &policy.Input{Kind: policy.ListCame, Form: list.Form, List: n.partly(list.Entries)})
 	}
 }
 
+// callBack keeps back what was pushed to servers that are no longer ready, and has not been sent yet.
+//
+// Danger: a push may wait for its connection for as long as a dial takes, and would be sent to a draining server past the
+// grace. The module pushes to ready servers alone, so none of these is there on purpose.
+func (n *Node) callBack() {
+	var waiting []*Push
+	for _, op := range n.ops {
+		for _, push := range op.pushes {
+			if !push.ended && push.fate.Load() == unsent && !n.ready(push.Server) {
+				waiting = append(waiting, push)
+			}
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *Push) int {
+		return cmp.Or(cmp.Compare(a.op.id, b.op.id), cmp.Compare(a.no, b.no))
+	})
+	for _, push := range waiting {
+		push.keepBack()
+	}
+}
+
+// ready says whether the list in hand has a server that takes ops.
+func (n *Node) ready(id policy.ServerID) bool {
+	return slices.ContainsFunc(n.list, func(e policy.Entry) bool { return e.Server == id && e.State == policy.Ready })
+}
+
 // settle gives the op its one final answer.
 func (n *Node) settle(op *Op, answer Answer) {
 	if op.settled {
@@ -326,6 +420,11 @@
 			Int("pushes", len(op.pushes)).Int64("left_ms", n.clock.Until(op.NotAfter).Milliseconds()).Msg("answer")
 	}
 	n.timers.stop(op.overdue)
+	for _, push := range op.pushes {
+		if !push.ended {
+			push.keepBack()
+		}
+	}
 	op.Answer(answer)
 	op.Body.Release() // pushes still out hold it for themselves
 }
@@ -411,7 +510,7 @@
 	if e.For > 0 {
 		push.For = min(push.For, e.For)
 	}
-	if op.settled || push.For <= 0 {
+	if op.settled || op.gone.Load() || push.For <= 0 {
 		// Danger: an op that is over, or out of time, would run for nobody.
 		push.ended = true
 		op.out--
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -46,10 +46,16 @@
 type servers struct {
 	pushes []*Push
 	closed []policy.ServerID
+	late   bool // connections don't come up
 }
 
-func (s *servers) Follow(*List)                 {}
-func (s *servers) Push(p *Push)                 { s.pushes = append(s.pushes, p) }
+func (s *servers) Follow(*List) {}
+func (s *servers) Push(p *Push) {
+	s.pushes = append(s.pushes, p)
+	if !s.late {
+		p.Begin()
+	}
+}
 func (s *servers) Watch()                       {}
 func (s *servers) CloseIdle(id policy.ServerID) { s.closed = append(s.closed, id) }
 
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"canvasrouter/policy"
@@ -82,11 +83,13 @@
 	Generation int
 
 	answer  chan Answer // holds one: the actor never waits for a client
+	gone    atomic.Bool // the client has left; known before the actor reads of it
 	of      *Generation
 	id      policy.OpID
 	settled bool
 	pushes  []*Push
 	out     int
+	ran     bool // it may have, by the pushes that have ended
 	overdue *timer
 }
 
@@ -109,12 +112,45 @@
 
 	op      *Op
 	no      policy.PushNo
+	fate    atomic.Uint32 // whether its first byte may be written
 	cancel  context.CancelFunc
 	sent    policy.Micros
 	ended   bool // told to the module
 	timeout *timer
 }
 
+// What becomes of a push's first byte. From unsent there is one way on, so that who writes and who keeps back agree.
+const (
+	unsent uint32 = iota
+	begun
+	keptBack
+)
+
+// Begin is asked by who carries the push, right before its first byte is written. Once it has said yes the push may have
+// run; once it has said no, nothing of it is ever written.
+//
+// Danger: a push waits for its connection, its socket or its turn, and its client leaves meanwhile; written then, it
+// would run for nobody. The actor may not have read of the leaving yet.
+func (p *Push) Begin() bool {
+	if p.op != nil && p.op.gone.Load() {
+		p.fate.CompareAndSwap(unsent, keptBack)
+	}
+	return p.fate.CompareAndSwap(unsent, begun) || p.fate.Load() == begun
+}
+
+// KeptBack says that nothing of the push was written, nor ever will be, since nobody waits for it.
+func (p *Push) KeptBack() bool { return p.fate.Load() == keptBack }
+
+// keepBack calls a push back of which nothing has been written, also where cancelling is not allowed: it was not sent.
+// It says whether it could.
+func (p *Push) keepBack() bool {
+	if !p.fate.CompareAndSwap(unsent, keptBack) && !p.KeptBack() {
+		return false
+	}
+	p.cancel()
+	return true
+}
+
 // Result is how the server's side saw a push end. Body and Header only come with Acked.
 type Result struct {
 	Outcome policy.Outcome
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 )
 
@@ -68,15 +69,16 @@
 	wrote atomic.Int32 // since its push began
 
 	mu     sync.Mutex
-	fresh  bool      // a push has the connection and has written nothing yet
-	at     phase     // what comes next
-	since  time.Time // idle
-	served bool      // it has brought an answer
-	head   []byte    // so far
-	left   int       // of the body, or unknown
-	came   bool      // some of the answer to the present push
-	broken bool      // by the other side
-	shed   bool      // closed here, as it stood idle
+	push   *node.Push // that has the connection, or had it last
+	fresh  bool       // it has written nothing yet
+	at     phase      // what comes next
+	since  time.Time  // idle
+	served bool       // it has brought an answer
+	head   []byte     // so far
+	left   int        // of the body, or unknown
+	came   bool       // some of the answer to the present push
+	broken bool       // by the other side
+	shed   bool       // closed here, as it stood idle
 }
 
 func (c *conn) Close() error {
@@ -95,11 +97,11 @@
 }
 
 // begin is told of each push that gets the connection.
-func (c *conn) begin() {
+func (c *conn) begin(push *node.Push) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.wrote.Store(nothing)
-	c.fresh, c.came = true, false
+	c.push, c.fresh, c.came = push, true, false
 }
 
 // spoilt says that an answer came that can't be read, on a connection that holds.
@@ -109,6 +111,13 @@
 	return c.came && !c.broken
 }
 
+// replied says that some of an answer to the present push has come.
+func (c *conn) replied() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.came
+}
+
 // dropped says that the connection was closed here before the push that got it had written anything.
 func (c *conn) dropped() bool {
 	c.mu.Lock()
@@ -140,6 +149,11 @@
 		c.at = spent
 		return false
 	}
+	// Danger: the wait for a connection, or for it to have rested, may have been long.
+	if c.push != nil && !c.push.Begin() {
+		c.at = spent
+		return false
+	}
 	c.fresh, c.at, c.head = false, head, c.head[:0]
 	return true
 }
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -106,9 +106,12 @@
 // Danger: once an answer has come the connection may be another push's, which has written nothing on it yet. What it
 // has written is then no word on this push: looked at so late, it sent a push again that had run.
 func (p *peer) attempt(push *node.Push) (result node.Result, passedOver bool) {
-	way := &passage{body: push.Body.Again()}
+	way := &passage{push: push, body: push.Body.Again()}
 	response, err := p.transport.RoundTrip(p.request(push, way))
-	if err != nil {
+	switch {
+	case err != nil && push.KeptBack():
+		return node.Result{Outcome: policy.Moot}, false
+	case err != nil:
 		return node.Result{Outcome: way.failure(push.Context)}, way.passedOver() && push.Context.Err() == nil
 	}
 	return p.answer(push, way, response), false
@@ -166,6 +169,7 @@
 
 // passage tells how far a push got on its connection.
 type passage struct {
+	push *node.Push
 	body *node.Reader
 	kept atomic.Bool // the connection has carried others before
 	conn atomic.Pointer[conn]
@@ -173,7 +177,7 @@
 
 func (w *passage) begin(info httptrace.GotConnInfo) {
 	if own, ok := info.Conn.(*conn); ok {
-		own.begin()
+		own.begin(w.push)
 		w.kept.Store(info.Reused)
 		w.conn.Store(own)
 	}
@@ -187,14 +191,14 @@
 
 // failure is the outcome of a push without an answer that can be passed on. It has surely not run only if its last
 // byte was surely not written: no connection, nothing written on it, a last write that was cut short, or body left to
-// read. A server that answers with what can't be read has had the push and is there: that is an error of its own, and
+// read. Danger: a server may answer before it has read the whole, and break then; what was answered may have run. A server that answers with what can't be read has had the push and is there: that is an error of its own, and
 // not the break of a connection.
 func (w *passage) failure(ctx context.Context) policy.Outcome {
 	c := w.conn.Load()
 	switch {
 	case ctx.Err() != nil:
 		return policy.Cancelled
-	case c == nil || c.wrote.Load() != whole || w.body.Left() > 0:
+	case c == nil || !c.replied() && (c.wrote.Load() != whole || w.body.Left() > 0):
 		return policy.ConnectFailed
 	case c.spoilt():
 		return policy.Errored
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -454,7 +454,7 @@
 	if wait := c.unrested(); wait > 0 {
 		t.Errorf("a new connection waits %v", wait)
 	}
-	c.begin()
+	c.begin(nil)
 	if !c.fit() {
 		t.Fatal("a new connection is not fit")
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -62,6 +62,9 @@
 	return p.room.Acquire(ctx, 1)
 }
 
+// Waiting is how many wait for room.
+func (p *Part) Waiting() int { return int(p.waiting.Load()) }
+
 // Idle says that a connection has fallen idle. Danger: one that does so while somebody waits for room would keep
 // it, and the one that waits would wait as long as it stays idle.
 func (p *Part) Idle() {
--- a/policy/view.go
+++ b/policy/view.go
@@ -1,5 +1,8 @@
 package policy
 
+// NeverRan says that a push that ended so has surely not run.
+func NeverRan(o Outcome) bool { return int(o) < len(neverRan) && neverRan[o] }
+
 // Throttles tells of each server's overload control that acts at the moment, and of the one of all servers together
 // (server 0): ops a second that pass at the cut, and the cut, a level of benefit. It changes nothing.
 func (n *Node) Throttles(tell func(server ServerID, rate float64, cut int)) {
