Watches: a silent one is opened anew at once, waits end within half a drain's grace

A list that comes indented over several lines was a broken line each, and each a call for the whole list; it is read as one. A whole list older than a change that was told (the registry's answers lag behind its watches) brought a drained server back and lost the change; the watch is begun anew from what is held.

TestUnaskedSpread counted 6 to 10 watches in 40 s; it now holds every wait to its bounds, which is stricter, and knows the new first wait. SIGTERM is caught before the configuration is read: a node told to end while it starts died of it.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -198,6 +198,7 @@
 	Push       policy.PushRule
 	Cold       policy.ColdRule
 	Registry   policy.RegistryRule
+	Grace      policy.Micros // of drains; 0: not told
 }
 
 // NewNode starts the module with these rules.
@@ -225,6 +226,7 @@
 		Registry: policy.RegistryRule{
 			Ask:    choice(s, "registry_mode", map[string]bool{"ask": true, "push": false}),
 			Within: Micros(s.numberOr("safety.must_ask_in", 0))},
+		Grace:      Micros(s.numberOr("safety.drain_grace", 0)),
 		Categories: s.categories(),
 	}
 	if s.flag("limits.retry_after") {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,6 +5,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -32,14 +33,20 @@
 	dialWait  = time.Second
 	longest   = 8 << 20 // of a line
 	mostAgain = 8       // times Again
+	// soon is the most that the first try waits after a watch that stood, in parts of Again. Danger: the whole fleet's
+	// watches may end together, and without any wait all come back in one moment.
+	soon = 4
 )
 
+var errSilent = errors.New("silent")
+
 // Options say where the registry is and what its words mean.
 type Options struct {
 	Addr         string
 	Zones, Kinds []string
 	Unasked      bool          // changes come without the module asking, so the actor keeps the watch up by itself
-	Again        time.Duration // between two such watches, more after each that failed
+	Again        time.Duration // between two such watches, up to eight times as long while they fail
+	Grace        time.Duration // of drains, if told: half of it is the longest wait between two such watches
 	Seed         uint64
 }
 
@@ -57,6 +64,8 @@
 	moved      chan string   // holds one: where the registry is now
 	tell       func(*node.List)
 	again      time.Duration // present wait where changes come unasked
+	grace      atomic.Int64  // as the options say, or Unasked
+	lines      int           // that the present watch has brought
 	rng        *rand.Rand
 }
 
@@ -65,7 +74,7 @@
 	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: dialWait}, Part: part}
 	r := &Registry{options: options, log: log, names: newNames(options.Zones, options.Kinds),
 		asked: make(chan struct{}, 1), moved: make(chan string, 1), silence: mostSilence,
-		again: options.Again, rng: rand.New(rand.NewSource(int64(options.Seed))),
+		rng: rand.New(rand.NewSource(int64(options.Seed))),
 		client: &http.Client{
 			Transport: &http.Transport{
 				DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -78,6 +87,8 @@
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		}}
 	r.unasked.Store(options.Unasked)
+	r.grace.Store(int64(options.Grace))
+	r.again = r.first()
 	return r
 }
 
@@ -95,8 +106,22 @@
 	return list, nil
 }
 
-// Unasked says whether changes come without the module asking from now on.
-func (r *Registry) Unasked(is bool) {
+// first is the wait before the first try after a watch that stood.
+func (r *Registry) first() time.Duration { return r.options.Again / soon }
+
+// most is the longest wait between two tries. Danger: where changes come unasked they count as told whether or not the
+// node listens, and one that comes back late would push to servers past the grace of their drain.
+func (r *Registry) most() time.Duration {
+	most := mostAgain * r.options.Again
+	if grace := time.Duration(r.grace.Load()); grace > 0 {
+		most = min(most, grace/2)
+	}
+	return max(most, r.first())
+}
+
+// Unasked says whether changes come without the module asking from now on, and the grace of drains.
+func (r *Registry) Unasked(is bool, grace time.Duration) {
+	r.grace.Store(int64(grace))
 	if r.unasked.Swap(is) != is && is {
 		r.Watch()
 	}
@@ -145,7 +170,7 @@
 		case addr := <-r.moved:
 			cancel()
 			<-ended
-			r.options.Addr, r.again = addr, r.options.Again
+			r.options.Addr, r.again = addr, r.first()
 			r.log.Info().Str("addr", addr).Msg("registry moved")
 		}
 		var watching context.Context
@@ -161,6 +186,17 @@
 // follow holds one watch. Unless it was replaced, its end is told.
 func (r *Registry) follow(ctx context.Context) {
 	err := r.watch(ctx)
+	// Danger: what a silent watch misses counts as told soon after; the wait that spares a registry that is down would
+	// use that time up. So a watch that stood and fell silent is opened anew by itself: the first time, and again if it has
+	// brought more than its first line since.
+	for least := 1; errors.Is(err, errSilent) && r.lines >= least && ctx.Err() == nil; least = 2 {
+		r.log.Warn().Uint64("generation", r.generation).Msg("watch of the list is silent, opened anew")
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(r.rng.Int63n(int64(r.first()) + 1))):
+			err = r.watch(ctx)
+		}
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -168,8 +204,9 @@
 	r.tell(&node.List{Form: policy.ListFailed})
 	if r.unasked.Load() {
 		// Danger: the whole fleet may lose a small registry together; it comes back at random, and ever later.
-		wait := r.again/2 + time.Duration(r.rng.Int63n(int64(r.again)))
-		r.again = min(2*r.again, mostAgain*r.options.Again)
+		r.again = min(r.again, r.most()) // the settings may have changed
+		wait := r.again/2 + time.Duration(r.rng.Int63n(int64(r.again)/2+1))
+		r.again = min(2*r.again, r.most())
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
@@ -186,14 +223,15 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	// Danger: a registry that is cut off says nothing, for ever.
-	quiet := time.AfterFunc(callWait, func() { cancel(errors.New("silent")) })
+	quiet := time.AfterFunc(callWait, func() { cancel(errSilent) })
 	defer quiet.Stop()
+	r.lines = 0
 	response, err := r.call(ctx, query)
 	if err != nil {
 		return errors.Join(err, context.Cause(ctx))
 	}
 	defer response.Body.Close()
-	lines := bufio.NewReader(response.Body)
+	lines, parts := bufio.NewReader(response.Body), []byte(nil)
 	var covered *uint64 // changes up to here are in a whole list that was asked for on the way
 	for told := false; ; told = true {
 		line, err := readLine(lines)
@@ -201,6 +239,17 @@
 			return errors.Join(err, context.Cause(ctx)) // half a line is no line
 		}
 		quiet.Reset(r.silence)
+		r.lines, r.again = r.lines+1, r.first()
+		// An object may come indented, over several lines. Danger: each of them taken for a broken line would be a call for
+		// the whole list, at every node.
+		if len(parts) > 0 || len(line) > 0 {
+			whole := len(line) == 0 || len(parts) > longest
+			parts = append(parts, line...)
+			if !whole && unfinished(parts) {
+				continue
+			}
+			line, parts = parts, nil
+		}
 		if len(line) == 0 {
 			if !told {
 				// Danger: the module asks again until it hears that it is subscribed, and each call is work for
@@ -215,6 +264,11 @@
 			if list, generation, err = r.whole(ctx); err != nil {
 				return err
 			}
+			if generation < r.generation {
+				// Danger: the registry's answers may lag behind its watches. A list older than a change that was told would
+				// bring a draining server back, and the change is never told again; the watch goes on from what is held.
+				return fmt.Errorf("whole list of generation %d is older than what is held", generation)
+			}
 			quiet.Reset(r.silence)
 			covered = &generation
 		}
@@ -226,7 +280,6 @@
 }
 
 func (r *Registry) take(list *node.List, generation uint64) {
-	r.again = r.options.Again
 	r.generation, r.held = generation, true
 	r.log.Info().Uint64("generation", generation).Int("entries", len(list.Entries)).
 		Bool("whole", list.Form == policy.ListWhole).Msg("list")
@@ -271,6 +324,12 @@
 	return response, nil
 }
 
+// unfinished says that raw may be the beginning of an object.
+func unfinished(raw []byte) bool {
+	var any json.RawMessage
+	return errors.Is(json.NewDecoder(bytes.NewReader(raw)).Decode(&any), io.ErrUnexpectedEOF)
+}
+
 // readLine reads up to the line's end and refuses one that has none in reach.
 func readLine(r *bufio.Reader) ([]byte, error) {
 	var line []byte
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -93,6 +95,13 @@
 	return out
 }
 
+// indented is an object over several lines.
+func indented(object string) string {
+	var out bytes.Buffer
+	json.Indent(&out, []byte(object), "", "  ")
+	return out.String()
+}
+
 // What a watch says is told in order; however it ends, that is told too, and once.
 func TestWatch(t *testing.T) {
 	const cached, asked = "cached ready 127.0.0.1:1 zone 1 started 0", "asked /api/targets?watch=1&from=41"
@@ -116,13 +125,29 @@
 		"half a line":       {script: []string{line(42, true)[:30]}, want: []string{cached, "failed", asked}},
 		"the registry down": {script: []string{"down"}, want: []string{cached, "failed", asked}},
 		// Danger: a registry that is cut off says nothing, and its connection stays open.
+		// Danger: waiting before it is opened anew uses up the time after which what it missed counts as told.
 		"a silent watch": {script: []string{line(42, false) + "\n"}, hold: true,
-			want: []string{cached, "changes", "failed", asked}},
+			want: []string{cached, "changes", "changes", "failed", asked, "asked /api/targets?watch=1&from=42"}},
+		"indented": {script: []string{indented(line(42, false, entry("s-1", "leaving", "127.0.0.1:1", 0))) + "\n\n",
+			line(43, false, entry("s-1", "left", "", 0)) + "\n"},
+			want: []string{cached, "changes draining 127.0.0.1:1 zone 1 started 0", "changes gone  zone 1 started 0",
+				"failed", asked}},
+		"an end in the middle of an indented object": {script: []string{
+			indented(line(42, false, entry("s-1", "leaving", "127.0.0.1:1", 0)))[:38] + "\n"},
+			want: []string{cached, "failed", asked}},
+		"an indented object that stops": {script: []string{"{\n  \"generation\": 42,\n\n"},
+			whole: line(44, true, entry("s-2", "active", "127.0.0.1:3", 0)),
+			want:  []string{cached, "whole ready 127.0.0.1:3 zone 1 started 0", "failed", asked, "asked /api/targets"}},
 		"a broken line": {script: []string{"{nonsense\n", line(44, false, entry("s-1", "left", "", 0)) + "\n",
 			line(45, false, entry("s-1", "left", "", 0)) + "\n"},
 			whole: line(44, true, entry("s-2", "active", "127.0.0.1:3", 0)),
 			want: []string{cached, "whole ready 127.0.0.1:3 zone 1 started 0", "changes gone  zone 1 started 0", "failed",
 				asked, "asked /api/targets"}},
+		"a broken line, and a whole list older than a change": {script: []string{
+			line(43, false, entry("s-1", "leaving", "127.0.0.1:1", 0)) + "\n", "{nonsense\n"},
+			whole: line(42, true, entry("s-1", "active", "127.0.0.1:1", 0)),
+			want: []string{cached, "changes draining 127.0.0.1:1 zone 1 started 0", "failed", asked,
+				"asked /api/targets"}},
 		"an unknown lifecycle": {script: []string{line(42, false, entry("s-1", "sleeping", "127.0.0.1:1", 0)) + "\n"},
 			whole: "no list either", want: []string{cached, "failed", asked, "asked /api/targets"}},
 	} {
@@ -199,13 +224,21 @@
 }
 
 // Danger: a whole fleet that lost its registry would come back in step and at once. Where nodes watch by
-// themselves they wait longer after each failure, each for a time of its own, until a list has come.
+// themselves they wait longer after each failure, each for a time of its own, until a line has come.
+//
+// Danger: what has changed meanwhile counts as told once the registry is back, heard or not; a node that waits for long
+// would push to servers past the grace of their drain.
 func TestUnaskedSpread(t *testing.T) {
+	testUnaskedSpread(t, 0, mostAgain*time.Second)
+	testUnaskedSpread(t, 1500*time.Millisecond, 750*time.Millisecond)
+}
+
+func testUnaskedSpread(t *testing.T, grace, longest time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		starts := map[uint64][]time.Duration{}
 		for seed := range uint64(2) {
 			begun, watched := time.Now(), 0
-			r := New(Options{Unasked: true, Again: time.Second, Seed: seed}, sockets.NewPart(4), zerolog.Nop())
+			r := New(Options{Unasked: true, Again: time.Second, Grace: grace, Seed: seed}, sockets.NewPart(4), zerolog.Nop())
 			r.client.Transport = roundTrip(func(*http.Request) (*http.Response, error) {
 				starts[seed] = append(starts[seed], time.Since(begun))
 				watched++
@@ -214,14 +247,15 @@
 			ctx, cancel := context.WithTimeout(t.Context(), 40*time.Second)
 			r.Run(ctx, func(*node.List) {})
 			cancel()
-			if watched < 6 || watched > 10 {
-				t.Errorf("%d watches in 40 s", watched)
-			}
-			if r.again != mostAgain*time.Second {
-				t.Errorf("the wait stands at %v", r.again)
+			most := time.Second / soon
+			for k := 1; k < watched; k++ {
+				if wait := starts[seed][k] - starts[seed][k-1]; wait < most/2 || wait > most {
+					t.Errorf("grace %v: wait %d is %v, not within half of %v", grace, k, wait, most)
+				}
+				most = min(2*most, longest)
 			}
-			if r.take(&node.List{}, 1); r.again != time.Second {
-				t.Errorf("after a list the wait is %v", r.again)
+			if watched < 6 || r.again != longest {
+				t.Errorf("grace %v: %d watches in 40 s, the wait stands at %v", grace, watched, r.again)
 			}
 		}
 		if starts[0][1] == starts[1][1] {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -45,6 +45,9 @@
 	// Danger: until it is caught, SIGHUP ends the process. One that comes early waits here.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	// The same with SIGTERM: whoever watches would take a node that is told to end while it starts for one that crashed.
+	terminate, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stopSignals()
 	if o.Getenv == nil {
 		o.Getenv = os.Getenv
 	}
@@ -61,7 +64,7 @@
 	zerolog.SetGlobalLevel(c.LogLevel)
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(log.With().Str("from", "library").Logger())
-	err = o.run(c, reload, log)
+	err = o.run(c, reload, terminate, log)
 	if err != nil {
 		log.Error().Err(err).Msg("node ends")
 	}
@@ -77,7 +80,7 @@
 	return 0
 }
 
-func (o *Options) run(c *config.Config, reload <-chan os.Signal, log zerolog.Logger) error {
+func (o *Options) run(c *config.Config, reload <-chan os.Signal, terminate context.Context, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is stacks and what the kernel counts
 
@@ -90,7 +93,7 @@
 	}
 	actor := node.New(first.Options, first.Module, clock, log.With().Str("part", "node").Logger())
 	list := registry.New(registry.Options{Addr: c.Discovery, Zones: c.Names.Zones, Kinds: c.Names.Kinds,
-		Unasked: !c.Rules.Registry.Ask, Again: time.Second, Seed: c.Seed}, forRegistry,
+		Unasked: !c.Rules.Registry.Ask, Again: time.Second, Grace: config.Duration(c.Rules.Grace), Seed: c.Seed}, forRegistry,
 		log.With().Str("part", "registry").Logger())
 	known, err := list.Known(c.Known)
 	if err != nil {
@@ -104,8 +107,6 @@
 	}
 	r.actor, r.list, r.pool, r.front = actor, list, pool, front
 
-	terminate, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stopSignals()
 	working, stop := context.WithCancel(context.Background())
 	defer stop()
 	actor.Start(pool, list, known)
@@ -248,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	r.list.Unasked(!next.Rules.Registry.Ask)
+	r.list.Unasked(!next.Rules.Registry.Ask, config.Duration(next.Rules.Grace))
 	r.front.Use(toClients(next, number))
 	return nil
 }
