Restart: every op in hand is answered before the kill, also with TTLs over 3 s

Cause: clients.Drain gives ops that come after SIGTERM an end before the kill, and leaves those in hand theirs; at that end http.Server.Close cut them off. Ruled out: the listener's end (all lost ones came on connections that were there before). Drain now tells the actor of the end (EndBy), which nacks what surely has not run and dead-letters the rest then. The close comes 0.1 s later: both fell on one moment.

Once no op had been in hand for 0.5 s everything open was closed, also a request whose last byte came just then. Now a connection is closed if it holds no whole request, nothing has come on it for 0.5 s and nothing waits unread.

A client that left while its request stood in the backlog is not taken (the kernel tells it with the time of the last byte); one that sent more than a request and went is noticed by asking the kernel each 0.1 s while the library reads no further.

--- a/cmd/canvasrouter/main_test.go
+++ b/cmd/canvasrouter/main_test.go
@@ -156,6 +156,73 @@
 	}
 }
 
+// Danger: the kill does not wait for a TTL of over 3 s. An op that was in hand when the restart was asked for is answered
+// before it, though its server says nothing and its client would wait on.
+func TestPlannedRestartLongTTL(t *testing.T) {
+	begun, finish := make(chan bool, 8), make(chan bool)
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- true
+		<-finish
+	}))
+	defer stand.Close()
+	defer close(finish)
+	addr := free(t)
+	p := start(t, func(*process) {}, "127.0.0.1:8081", addr, "127.0.0.1:8500", free(t),
+		"127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://"),
+		`"target_latency": 500.0, "ttl": 1200.0`, `"target_latency": 30000.0, "ttl": 60000.0`)
+	awaitReady(t, addr)
+	status := make(chan int, 1)
+	go func() {
+		request, _ := http.NewRequest("POST", "http://"+addr+"/booking", strings.NewReader("body"))
+		request.Header.Set("X-Txn", "9b1f")
+		request.Header.Set("Idempotency-Key", "k")
+		request.Header.Set("X-Remaining-Ms", "60000")
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Error(err)
+			status <- 0
+			return
+		}
+		response.Body.Close()
+		status <- response.StatusCode
+	}()
+	<-begun
+	p.Process.Signal(syscall.SIGTERM)
+	told := time.Now()
+	if got := <-status; got != http.StatusBadGateway { // its one push may have run
+		t.Errorf("status %d", got)
+	}
+	if took := time.Since(told); took > 3700*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v, log %s", err, p.log.String())
+	}
+}
+
+// Danger: a node that is told to end while it starts would die of the signal, and count as crashed. Here it reads its
+// configuration from a pipe, so the signal surely comes before the node has started.
+func TestToldToEndWhileItStarts(t *testing.T) {
+	var raw []byte
+	p := start(t, func(p *process) {
+		raw, _ = os.ReadFile(p.config)
+		os.Remove(p.config)
+		if err := syscall.Mkfifo(p.config, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}, "127.0.0.1:8081", free(t), "127.0.0.1:8500", free(t))
+	config, err := os.OpenFile(p.config, os.O_WRONLY, 0) // until the node reads
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	config.Write(raw)
+	config.Close()
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v, log %s", err, p.log.String())
+	}
+}
+
 // SIGHUP takes the configuration over anew while an op is in hand: the list is followed at the new address. A faulty
 // file changes nothing, and what can't change is named.
 func TestReload(t *testing.T) {
--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -43,6 +43,8 @@
 	killTTL        = 3 * time.Second        // which counts for no more than this
 	exitTime       = 200 * time.Millisecond // of it, to close what is open and to exit
 	coarse         = 10 * time.Millisecond  // the kernel tells times in steps of some milliseconds
+	lookEvery      = 100 * time.Millisecond // for a client that has left unread
+	statusLeft     = -1                     // nobody to answer
 	statusNack     = http.StatusServiceUnavailable
 	statusDead     = http.StatusBadGateway
 	statusInternal = http.StatusInternalServerError
@@ -52,6 +54,7 @@
 type Actor interface {
 	Arrive(*node.Op)
 	Abandon(*node.Op)
+	EndBy(policy.Micros)
 }
 
 // Options are what the settings say of clients.
@@ -81,7 +84,8 @@
 	listener *listener
 	idle     idlers
 	ids      ids
-	open     atomic.Int32          // connections
+	open     atomic.Int32 // connections
+	conns    conns
 	drain    atomic.Pointer[drain] // nil until a planned restart
 }
 
@@ -116,6 +120,7 @@
 		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			s.idle.set(c, state)
+			s.conns.set(c, state)
 			switch state {
 			case http.StateNew:
 				s.open.Add(1)
@@ -156,33 +161,32 @@
 func (s *Server) Drain(served <-chan error, stay bool) {
 	begun := time.Now()
 	until, last := s.options.Load().drainTimes()
-	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(last))
+	// Danger: the last answers are made at the end that ops are given, and a close in the same moment would cut them off.
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(last+exitTime/2))
 	defer cancel()
-	s.drain.Store(&drain{begun: begun, end: s.clock.Now() + policy.Micros(last/time.Microsecond)})
+	end := s.clock.Now() + policy.Micros(last/time.Microsecond)
+	s.drain.Store(&drain{begun: begun, end: end})
+	s.actor.EndBy(end)
 	s.listener.drain()
 	<-served
 	if stay {
 		s.stay(begun.Add(until))
 	}
 	// Danger: what bad clients have begun and never end would hold the restart up for seconds, and the next node may
-	// go down meanwhile. Once no op has been in hand for a while, nothing that stands open is a whole request.
+	// go down meanwhile. What holds no whole request, and on which nothing comes any more, is closed.
 	over := make(chan error, 1)
 	go func() { over <- s.http.Shutdown(ctx) }()
 	look := time.NewTicker(leastWait / 10)
 	defer look.Stop()
-	for busy := time.Now(); ; {
+	for {
 		select {
 		case err := <-over:
 			if err != nil {
 				s.http.Close()
 			}
 			return
-		case now := <-look.C:
-			if !s.ids.none() {
-				busy = now
-			} else if now.Sub(busy) > leastWait {
-				s.http.Close()
-			}
+		case <-look.C:
+			s.conns.closeHalf(leastWait)
 		}
 	}
 }
@@ -236,6 +240,9 @@
 		return
 	}
 	op, status, reason := s.read(w, r)
+	if status == statusLeft {
+		panic(http.ErrAbortHandler) // nobody to answer
+	}
 	if op == nil {
 		// Danger: behind what can't be used stands more of the same, or a request hidden in it. The connection
 		// closes; what still comes is read for a while, or a reset would wipe out the answer.
@@ -247,14 +254,29 @@
 	}
 	defer s.ids.give(op.Header.Get(idHeader))
 	s.actor.Arrive(op)
-	var answer node.Answer
-	select {
-	case answer = <-op.Answered():
-	case <-r.Context().Done():
+	s.write(w, s.answer(r, op))
+}
+
+// answer waits for the op's answer, or for its client to leave.
+func (s *Server) answer(r *http.Request, op *node.Op) node.Answer {
+	c, ok := connOf(r)
+	look := time.NewTimer(lookEvery)
+	defer look.Stop()
+	for {
+		select {
+		case answer := <-op.Answered():
+			return answer
+		case <-r.Context().Done():
+		case <-look.C:
+			if !ok || !c.leftUnread() {
+				look.Reset(lookEvery)
+				continue
+			}
+			s.log.Debug().Msg("client left unread")
+		}
 		s.actor.Abandon(op)
-		answer = <-op.Answered()
+		return <-op.Answered()
 	}
-	s.write(w, answer)
 }
 
 // read takes an op out of a request, or says what is wrong with it.
@@ -306,9 +328,18 @@
 	// answer after the client has gone.
 	now := s.clock.Now()
 	if c, ok := connOf(r); ok {
-		if since, _ := received(c.tcp); since > coarse {
-			now -= min(policy.Micros(since/time.Microsecond), policy.Micros(remaining)*policy.Millisecond)
+		h := received(c.tcp)
+		if h.ended {
+			// Danger: the op waited in the backlog, for a socket or for this process's core, and its client has left
+			// meanwhile; the library would notice after it has been pushed.
+			s.ids.give(id)
+			body.Release()
+			return nil, statusLeft, ""
+		}
+		if h.since > coarse {
+			now -= min(policy.Micros(h.since/time.Microsecond), policy.Micros(remaining)*policy.Millisecond)
 		}
+		c.inHand.Store(true)
 	}
 	control.SetReadDeadline(time.Time{}) // or it would look as if the client had left
 	control.SetWriteDeadline(time.Now().Add(time.Duration(remaining)*time.Millisecond + writeWait))
--- a/internal/clients/clients_test.go
+++ b/internal/clients/clients_test.go
@@ -28,10 +28,12 @@
 type module struct {
 	do   func(*node.Op)
 	left chan *node.Op
+	ends chan policy.Micros
 }
 
-func (m *module) Arrive(op *node.Op)  { m.do(op) }
-func (m *module) Abandon(op *node.Op) { m.left <- op; op.Answer(node.Answer{Verdict: node.Left}) }
+func (m *module) Arrive(op *node.Op)     { m.do(op) }
+func (m *module) EndBy(at policy.Micros) { m.ends <- at }
+func (m *module) Abandon(op *node.Op)    { m.left <- op; op.Answer(node.Answer{Verdict: node.Left}) }
 
 type rig struct {
 	*Server
@@ -44,7 +46,7 @@
 // start runs a server with so many sockets for clients.
 func start(t *testing.T, room int, do func(*node.Op)) *rig {
 	t.Helper()
-	r := &rig{module: &module{do: do, left: make(chan *node.Op, 8)}, served: make(chan error, 1),
+	r := &rig{module: &module{do: do, left: make(chan *node.Op, 8), ends: make(chan policy.Micros, 1)}, served: make(chan error, 1),
 		part: sockets.NewPart(room)}
 	var err error
 	r.Server, err = Listen("127.0.0.1:0", Options{Categories: []string{"checkout", "browse", "booking"},
--- /dev/null
+++ b/internal/clients/crossing_test.go
@@ -0,0 +1,225 @@
+package clients
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"canvasrouter/internal/node"
+)
+
+// await looks until it is so, within the bound.
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for begun := time.Now(); !is(); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > bound {
+			t.Fatal(what)
+		}
+	}
+}
+
+// only is the connection that stands open at the server besides others.
+func (r *rig) only(t *testing.T, others ...*conn) *conn {
+	t.Helper()
+	var found *conn
+	await(t, "no connection came", func() bool {
+		r.conns.mu.Lock()
+		defer r.conns.mu.Unlock()
+	search:
+		for c := range r.conns.open {
+			for _, other := range others {
+				if c == other {
+					continue search
+				}
+			}
+			found = c
+		}
+		return found != nil
+	})
+	return found
+}
+
+// A request and its client's end both wait in the backlog, since no socket has room. It is not taken; the next one is.
+func TestLeftInBacklog(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"closes":        func(c *net.TCPConn) { c.Close() },
+		"resets":        func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"ends its side": func(c *net.TCPConn) { c.CloseWrite() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ops := make(chan *node.Op, 8)
+			r := start(t, 1, func(op *node.Op) { ops <- op })
+			running := r.dial(t)
+			io.WriteString(running.Conn, request("POST", "/booking", "running"))
+			op := <-ops
+			gone := r.dial(t)
+			io.WriteString(gone.Conn, request("POST", "/booking", "gone"))
+			leave(gone.Conn.(*net.TCPConn))
+			waits := r.dial(t)
+			io.WriteString(waits.Conn, request("POST", "/booking", "waits"))
+			served(op)
+			if got := running.answer(); !strings.Contains(got, "running") {
+				t.Fatalf("the first op: %s", got)
+			}
+			running.Close()
+			next := <-ops
+			if body := string(next.Body.Bytes()); body != "waits" {
+				t.Fatalf("the op %q was taken for nobody", body)
+			}
+			served(next)
+			waits.answer()
+			if len(r.left) > 0 {
+				t.Error("the actor heard of the one that left")
+			}
+		})
+	}
+}
+
+// A client that sends more than a request leaves: the library reads no further and does not notice.
+func TestLeftUnread(t *testing.T) {
+	for name, beyond := range map[string]string{"one byte": "G", "much": strings.Repeat("G", 40000)} {
+		for how, leave := range map[string]func(*net.TCPConn){
+			"closes": func(c *net.TCPConn) { c.Close() },
+			"resets": func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				ops := make(chan *node.Op, 1)
+				r := start(t, 9, func(op *node.Op) { ops <- op })
+				c := r.dial(t)
+				io.WriteString(c.Conn, request("POST", "/booking", "body"))
+				op := <-ops
+				own := r.only(t)
+				io.WriteString(c.Conn, beyond) // what came in one piece with the request would not stop the library
+				await(t, "the library read no byte beyond", func() bool { return !own.reading.Load() })
+				leave(c.Conn.(*net.TCPConn))
+				begun := time.Now()
+				select {
+				case left := <-r.left:
+					if left != op {
+						t.Error("another op was abandoned")
+					}
+				case <-time.After(bound):
+					t.Fatal("nobody noticed")
+				}
+				if took := time.Since(begun); took > 3*lookEvery {
+					t.Logf("noticed after %v", took) // the machine's, not the node's: the bound above is the test
+				}
+			})
+		}
+	}
+}
+
+// A client that stays is not taken for one that left, however much it sends.
+func TestStaysUnread(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 9, func(op *node.Op) { ops <- op })
+	c := r.dial(t)
+	io.WriteString(c.Conn, request("POST", "/booking", "body"))
+	op := <-ops
+	own := r.only(t)
+	io.WriteString(c.Conn, "more")
+	await(t, "the library read no byte beyond", func() bool { return !own.reading.Load() })
+	if own.leftUnread() {
+		t.Error("it counts as left")
+	}
+	select {
+	case <-r.left:
+		t.Error("it was abandoned")
+	case <-time.After(2 * lookEvery):
+	}
+	served(op)
+	if got := c.answer(); got != "200 POST /booking body" {
+		t.Errorf("got %s", got)
+	}
+}
+
+// What a restart closes in the end holds no whole request. Danger: one whose last byte comes while others are closed is taken,
+// and would be lost.
+func TestCloseHalf(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 9, func(op *node.Op) { ops <- op })
+	running := r.dial(t)
+	io.WriteString(running.Conn, request("POST", "/booking", "body"))
+	op := <-ops
+	inHand := r.only(t)
+	half := r.dial(t)
+	raw := request("POST", "/booking", "half")
+	io.WriteString(half.Conn, raw[:len(raw)-2])
+	own := r.only(t, inHand)
+	await(t, "half a request was not read", func() bool { return own.read.Load() > 0 })
+	r.conns.closeHalf(time.Hour) // something has come on both within the hour
+	io.WriteString(half.Conn, raw[len(raw)-2:])
+	second := <-ops
+	r.conns.closeHalf(0) // both are whole now, and no byte is new enough
+	served(op)
+	served(second)
+	for c, want := range map[*client]string{running: "200 POST /booking body", half: "200 POST /booking half"} {
+		if got := c.answer(); got != want {
+			t.Errorf("got %s, not %s", got, want)
+		}
+	}
+	await(t, "the answers are not out", func() bool { return !inHand.inHand.Load() && !own.inHand.Load() })
+	third := r.dial(t)
+	io.WriteString(third.Conn, raw[:len(raw)-2])
+	other := r.only(t, inHand, own)
+	await(t, "half a request was not read", func() bool { return other.read.Load() > 0 && !unread(other.tcp) })
+	await(t, "half a request was not closed", func() bool {
+		r.conns.closeHalf(0)
+		r.conns.mu.Lock()
+		defer r.conns.mu.Unlock()
+		return !r.conns.open[other]
+	})
+}
+
+// Bytes that wait unread are not closed away: this process may have had to wait for its core.
+func TestHalfUnread(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	tcp, err := l.(*net.TCPListener).AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer tcp.Close()
+	own := &conn{tcp: tcp, came: time.Now()}
+	if !own.half(0) {
+		t.Error("a connection on which nothing came is kept")
+	}
+	io.WriteString(c, "GET")
+	await(t, "nothing came", func() bool { return unread(tcp) })
+	if own.half(0) {
+		t.Error("bytes that nobody has read would be closed away")
+	}
+}
+
+// The last answer is made in the moment that ops are given as their end, or a little later where the core is shared; it is out
+// before what is open is closed.
+func TestAnswerAtTheEnd(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 9, func(op *node.Op) { ops <- op })
+	c := r.dial(t)
+	io.WriteString(c.Conn, request("POST", "/booking", "body"))
+	op := <-ops
+	var drained sync.WaitGroup
+	drained.Go(func() { r.Drain(r.served, true) })
+	await(t, "no restart", func() bool { return r.drain.Load() != nil })
+	if end := <-r.ends; end != r.drain.Load().end {
+		t.Errorf("the actor was told of the end %d", end)
+	}
+	_, last := r.options.Load().drainTimes()
+	time.AfterFunc(time.Until(r.drain.Load().begun.Add(last+exitTime/4)), func() { served(op) })
+	if got := c.answer(); got != "200 close POST /booking body" {
+		t.Errorf("the last answer: %s", got)
+	}
+	drained.Wait()
+}
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -97,6 +97,72 @@
 	tcp   *net.TCPConn
 	came  time.Time
 	asked bool // a request with a body wait of its own has been read; the handler's
+
+	reading atomic.Bool  // the library waits for what comes next, and so for the client's end
+	inHand  atomic.Bool  // a whole request of it is not answered yet
+	read    atomic.Int64 // how long after came the library last got something
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	c.reading.Store(true)
+	defer c.reading.Store(false)
+	n, err := c.Conn.Read(b)
+	c.read.Store(int64(time.Since(c.came)))
+	return n, err
+}
+
+// half says that the connection holds no whole request, and that for a while nothing has come on it. Danger: what came
+// may wait unread, or be read and not yet counted, while this process waits for its core.
+func (c *conn) half(quiet time.Duration) bool {
+	return !c.inHand.Load() && time.Since(c.came)-time.Duration(c.read.Load()) >= quiet &&
+		received(c.tcp).since >= quiet && !unread(c.tcp)
+}
+
+// leftUnread says that the client has left and that nobody is reading who would notice. Danger: the library reads one
+// byte beyond a request and then no further; a client that sends much at once and goes has left unseen.
+func (c *conn) leftUnread() bool { return !c.reading.Load() && received(c.tcp).ended }
+
+// conns are those that stand open.
+type conns struct {
+	mu   sync.Mutex
+	open map[*conn]bool
+}
+
+func (c *conns) set(of net.Conn, state http.ConnState) {
+	own, ok := of.(*conn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		if c.open == nil {
+			c.open = make(map[*conn]bool)
+		}
+		c.open[own] = true
+	case http.StateIdle:
+		own.inHand.Store(false) // its answer is out
+	case http.StateClosed, http.StateHijacked:
+		delete(c.open, own)
+	}
+}
+
+// closeHalf closes the connections that hold no whole request and on which nothing has come for a while.
+//
+// Danger: a request whose last bytes come while a restart closes what stands open is taken, and would be lost.
+func (c *conns) closeHalf(quiet time.Duration) {
+	c.mu.Lock()
+	var half []*conn
+	for own := range c.open {
+		if own.half(quiet) {
+			half = append(half, own)
+		}
+	}
+	c.mu.Unlock()
+	for _, own := range half {
+		own.Close()
+	}
 }
 
 // ids are those of the ops in hand.
@@ -119,13 +185,6 @@
 	return true
 }
 
-// none says that no op is in hand.
-func (i *ids) none() bool {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return len(i.held) == 0
-}
-
 func (i *ids) give(id string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -182,6 +241,12 @@
 	if !ok {
 		return false
 	}
-	_, nothing := received(own.tcp)
-	return nothing
+	return received(own.tcp).nothing
+}
+
+// heard is what the kernel knows of a client's connection.
+type heard struct {
+	since   time.Duration // the last byte came
+	nothing bool          // ever came
+	ended   bool          // the client has left, though there may be bytes to read yet
 }
--- a/internal/clients/received_linux.go
+++ b/internal/clients/received_linux.go
@@ -7,17 +7,34 @@
 	"golang.org/x/sys/unix"
 )
 
-// received is how long ago the last byte of a connection came, or that none has: the kernel knows before this
-// process reads.
-func received(conn *net.TCPConn) (since time.Duration, nothing bool) {
+// received is what the kernel knows of a connection before this process reads.
+func received(conn *net.TCPConn) (h heard) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return 0, false
+		return heard{}
 	}
 	raw.Control(func(fd uintptr) {
 		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			since, nothing = time.Duration(info.Last_data_recv)*time.Millisecond, info.Bytes_received == 0
+			h.since, h.nothing = time.Duration(info.Last_data_recv)*time.Millisecond, info.Bytes_received == 0
+			switch info.State {
+			case unix.BPF_TCP_CLOSE, unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING:
+				h.ended = true
+			}
 		}
 	})
-	return since, nothing
+	return h
+}
+
+// unread says that bytes have come that this process has not read. It takes nothing out and does not wait.
+func unread(conn *net.TCPConn) (yes bool) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		yes = n > 0 && err == nil
+	})
+	return yes
 }
