--- a/policy/policy.go
+++ b/policy/policy.go
@@ -269,7 +269,7 @@
 	o.level, _ = slices.BinarySearch(n.levels, c.Benefit)
 	n.offered.add(n.now)
 	n.words = min(8*saidAnOp, n.words+saidAnOp*number(!in.Repeated))
-	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*c.Benefit/n.levels[len(n.levels)-1]))
+	o.allowed = uint8(1 + math.Ceil(float64(n.rule.Max-1)*c.Benefit/cmp.Or(n.levels[len(n.levels)-1], 1)))
 	o.last = in.NotAfter - 2*n.place.Tick
 	o.goal = min(n.now+c.Target-2*n.place.Tick, o.last)
 	if c.Late > 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -751,3 +751,17 @@
 		t.Errorf("%d servers: %+v", n, s.node.servers)
 	}
 }
+
+// Danger: where no category has any benefit, a share of the highest is no number, and every op was nacked unsent.
+func TestNoBenefit(t *testing.T) {
+	n := New(1, Place{Tiers: 1, Nodes: 1, Tick: Millisecond}, []Category{{Target: Second, TTL: Second}}, PushRule{Max: 3, Dial: 100 * Millisecond},
+		ColdRule{From: 1, Factor: 3, Window: Second}, RegistryRule{})
+	n.Step(1, &Input{Kind: ListCame, Form: ListCached, List: []Entry{{Server: 1, State: Ready, Weight: 1}}})
+	pushed := false
+	for _, e := range n.Step(2, &Input{Kind: OpArrived, Op: 1, NotAfter: Second}) {
+		pushed = pushed || e.Kind == Push
+	}
+	if !pushed {
+		t.Error("an op of no benefit is not pushed to an idle server")
+	}
+}
