--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -24,7 +24,9 @@
 
 // begin is the carrier at the moment before a push's first byte.
 func (r *rig) begin(push int) {
-	if r.pushes[push].Begin() {
+	if push >= len(r.pushes) {
+		r.note("carrier: was not given it")
+	} else if r.pushes[push].Begin() {
 		r.note("carrier: begins")
 	} else {
 		r.note("carrier: keeps it back")
