Tests: restart crossings with a stopped node, late connections, idle ends, at-most-once on sockets

The node is stopped by SIGSTOP, so that a whole request, half of one, a connection in the backlog, an answer, SIGTERM and SIGHUP surely come between two of its lines. A push held after its SYN by a full backlog; one held between the choice of an idle connection and its first byte; eleven ways in which the first push of an at-most-once op ends, never two out, none after one that may have run.

--- /dev/null
+++ b/cmd/canvasrouter/crossing_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hold stops the node, and returns once all its threads stand: what happens now it finds all together when it goes on.
+func (p *process) hold(t *testing.T) {
+	t.Helper()
+	p.Process.Signal(syscall.SIGSTOP)
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+		if _, after, _ := strings.Cut(string(raw), ") "); err == nil && strings.HasPrefix(after, "T") {
+			return
+		}
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("the node does not stop")
+		}
+	}
+}
+
+// raw is a client's connection that the test writes by pieces.
+type raw struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func dialRaw(t *testing.T, addr string) *raw {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &raw{c, bufio.NewReader(c)}
+}
+
+func (r *raw) send(bytes string) { io.WriteString(r.Conn, bytes) }
+
+func (r *raw) answer() string {
+	response, err := http.ReadResponse(r.in, nil)
+	if err != nil {
+		return err.Error()
+	}
+	body, err := io.ReadAll(response.Body)
+	return fmt.Sprint(response.StatusCode, " ", string(body), err)
+}
+
+func booking(id string) string {
+	return fmt.Sprintf("POST /booking/%s HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining-Ms: 1100\r\nIdempotency-Key: k\r\nContent-Length: 4\r\n\r\nbody", id, id)
+}
+
+// The node is stopped; meanwhile a request comes whole, another one's second half, one on a new connection, an answer, SIGTERM
+// and SIGHUP; then it goes on, and SIGTERM comes once more. Everything taken has its answer, and the node exits 0.
+func TestRestartCrossings(t *testing.T) {
+	pushed, finish := make(chan string, 8), make(chan bool)
+	var once sync.Once
+	done := func() { once.Do(func() { close(finish) }) }
+	defer done()
+	stand := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get("X-Txn"); id == "answered" {
+			pushed <- id
+			<-finish
+		}
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s", r.Header.Get("X-Txn"), body)
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go stand.Serve(l)
+	defer stand.Close()
+	addr := free(t)
+	p := start(t, func(*process) {}, "127.0.0.1:8081", addr, "127.0.0.1:8500", free(t), "127.0.0.1:8181", l.Addr().String())
+	awaitReady(t, addr)
+	conns := map[string]*raw{}
+	// Four ops at the most are out together: a fresh node gives its one server no more at once, and nacks the fifth.
+	for _, id := range []string{"kept", "half", "answered"} {
+		c := dialRaw(t, addr)
+		c.send(booking("first-" + id)) // so that the node has the connection, and serves it
+		if got := c.answer(); got != "200 first-"+id+" body<nil>" {
+			t.Fatalf("%s: %s", id, got)
+		}
+		conns[id] = c
+	}
+	half := booking("half")
+	conns["half"].send(half[:len(half)-2])
+	conns["answered"].send(booking("answered"))
+	<-pushed
+	p.hold(t)
+	conns["kept"].send(booking("kept"))
+	conns["half"].send(half[len(half)-2:])
+	conns["backlog"] = dialRaw(t, addr)
+	conns["backlog"].send(booking("backlog"))
+	done() // the servers answer
+	p.Process.Signal(syscall.SIGTERM)
+	p.Process.Signal(syscall.SIGHUP)
+	p.Process.Signal(syscall.SIGCONT)
+	for id, c := range conns {
+		if got := c.answer(); got != "200 "+id+" body<nil>" {
+			t.Errorf("%s: %s", id, got)
+		}
+	}
+	p.Process.Signal(syscall.SIGTERM)
+	for _, c := range conns {
+		c.Close()
+	}
+	if err := p.Wait(); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if !strings.Contains(p.log.String(), "configuration taken over") {
+		t.Errorf("SIGHUP was lost: %s", p.log.String())
+	}
+}
--- a/internal/servers/crossing_test.go
+++ b/internal/servers/crossing_test.go
@@ -3,9 +3,16 @@
 import (
 	"bufio"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -23,7 +30,7 @@
 	if in.Kind != policy.OpArrived {
 		return nil
 	}
-	return []policy.Effect{{Kind: policy.Push, Op: in.Op, Server: 1, For: policy.Second}}
+	return []policy.Effect{{Kind: policy.Push, Op: in.Op, Server: 1, For: 0}}
 }
 
 type quietRegistry struct{}
@@ -35,13 +42,18 @@
 	*node.Node
 	part  *sockets.Part
 	clock *node.Clock
-	addr  string
+	addrs []string
 }
 
 func newActor(t *testing.T, addr string, dial time.Duration) *actor {
 	t.Helper()
-	a := &actor{part: sockets.NewPart(2), clock: node.NewClock(), addr: addr}
-	a.Node = node.New(node.Options{MostOpen: 9, Slack: 20 * policy.Millisecond}, eager{}, a.clock, zerolog.Nop())
+	return newActorOf(t, eager{}, dial, 2, addr)
+}
+
+func newActorOf(t *testing.T, module policy.Decider, dial time.Duration, room int, addrs ...string) *actor {
+	t.Helper()
+	a := &actor{part: sockets.NewPart(room), clock: node.NewClock(), addrs: addrs}
+	a.Node = node.New(node.Options{MostOpen: 9, Slack: 20 * policy.Millisecond}, module, a.clock, zerolog.Nop())
 	pool := New(Options{Dial: dial, IdleClose: 5 * time.Second, MostOut: 32}, a.part, zerolog.Nop(), a.Ended)
 	a.Start(pool, quietRegistry{}, a.list(policy.Ready))
 	ctx, stop := context.WithCancel(context.Background())
@@ -52,16 +64,23 @@
 }
 
 func (a *actor) list(state policy.ServerState) *node.List {
-	return &node.List{Form: policy.ListChanges, Addrs: []string{a.addr}, Entries: []policy.Entry{{Server: 1, State: state, Weight: 1}}}
+	l := &node.List{Form: policy.ListWhole, Addrs: a.addrs}
+	for i := range a.addrs {
+		l.Entries = append(l.Entries, policy.Entry{Server: policy.ServerID(i + 1), State: state, Weight: 1})
+	}
+	return l
 }
 
 // op hands over an op of an id.
-func (a *actor) op(id string) *node.Op {
+func (a *actor) op(id string) *node.Op { return a.opOf(id, "body", policy.Second) }
+
+func (a *actor) opOf(id, body string, wait policy.Micros) *node.Op {
 	op := node.NewOp()
-	p := push(context.Background(), "POST", "/booking", "body", "X-Txn: "+id)
+	p := push(context.Background(), "POST", "/booking", "", "X-Txn: "+id)
+	p.Body.Close()
 	op.Request = *p.Request
-	op.Body, _ = node.ReadPayload(strings.NewReader("body"), -1)
-	op.NotAfter = a.clock.Now() + policy.Second
+	op.Body, _ = node.ReadPayload(strings.NewReader(body), -1)
+	op.NotAfter = a.clock.Now() + wait
 	a.Arrive(op)
 	return op
 }
@@ -272,3 +291,249 @@
 		})
 	}
 }
+
+// stuffed is a listener whose backlog is full, so that a connection to it stands between its SYN and its coming up, until
+// empty has taken what waits; from then on it serves.
+func stuffed(t *testing.T, serve func(net.Conn, *bufio.Reader)) (addr string, empty func()) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "listener")
+	defer file.Close()
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, _ := syscall.Getsockname(fd)
+	addr = fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	var stuffing []net.Conn
+	for full := false; !full; {
+		c, err := net.DialTimeout("tcp", addr, 500*time.Millisecond)
+		if full = err != nil; !full {
+			stuffing = append(stuffing, c)
+		}
+	}
+	l, err := net.FileListener(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var done sync.WaitGroup
+	t.Cleanup(func() { l.Close(); done.Wait() })
+	return addr, func() {
+		for _, c := range stuffing {
+			c.Close()
+		}
+		done.Go(func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				c.SetDeadline(time.Now().Add(bound))
+				done.Go(func() { defer c.Close(); serve(c, bufio.NewReader(c)) })
+			}
+		})
+	}
+}
+
+// dialing says that a connection of this machine to addr stands after its SYN.
+func dialing(t *testing.T, addr string) bool {
+	t.Helper()
+	raw, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Skip("the kernel does not tell")
+	}
+	_, port, _ := net.SplitHostPort(addr)
+	number, _ := strconv.Atoi(port)
+	for line := range strings.Lines(string(raw)) {
+		fields := strings.Fields(line)
+		if len(fields) > 3 && fields[2] == fmt.Sprintf("0100007F:%04X", number) && fields[3] == "02" {
+			return true
+		}
+	}
+	return false
+}
+
+// A push waits for a connection that comes up late, and its client leaves meanwhile. The connection comes up after all; what
+// comes on it first is the next op.
+func TestWaitsForAConnection(t *testing.T) {
+	firsts, release := make(chan string, 8), make(chan bool) // the first id on each connection
+	addr, empty := stuffed(t, func(c net.Conn, in *bufio.Reader) {
+		for fresh := true; ; fresh = false {
+			head, _, err := read(in)
+			if err != nil {
+				return
+			}
+			_, rest, _ := strings.Cut(head, "X-Txn: ")
+			id, _, _ := strings.Cut(rest, "\r\n")
+			if fresh {
+				firsts <- id
+			}
+			if id == "held" {
+				<-release
+			}
+			io.WriteString(c, answer("200 OK", "fine"))
+		}
+	})
+	a := newActor(t, addr, bound)
+	first := a.op("first")
+	for begun := time.Now(); !dialing(t, addr); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > bound {
+			t.Fatal("no dial is under way")
+		}
+	}
+	a.Abandon(first)
+	if v := verdict(t, first); v != node.Left {
+		t.Errorf("the first op: %v", v)
+	}
+	empty()
+	// Another op has a connection at once, and keeps it; the budget has no more room than that. The late one comes up when the
+	// kernel asks again, after a second or so, and goes to who waits for it.
+	held := a.opOf("held", "body", policy.Micros(bound/time.Microsecond))
+	if id := <-firsts; id != "held" {
+		t.Fatalf("the server got the %s op", id)
+	}
+	next := a.opOf("next", "body", policy.Micros(bound/time.Microsecond))
+	if id := <-firsts; id != "next" {
+		t.Errorf("the server got the %s op", id)
+	}
+	if v := verdict(t, next); v != node.Acked {
+		t.Errorf("the next op: %v", v)
+	}
+	close(release)
+	if v := verdict(t, held); v != node.Acked {
+		t.Errorf("the held op: %v", v)
+	}
+}
+
+// The server ends an idle connection after a push has chosen it: the test holds the push between its choice and its first byte.
+// Nothing of it is written there, and it goes on another connection, once.
+func TestIdleEndsOnceChosen(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn){
+		"closed":     func(c *net.TCPConn) { c.Close() },
+		"reset":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+		"its side":   func(c *net.TCPConn) { c.CloseWrite() },
+		"bytes come": func(c *net.TCPConn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int32
+			conns := make(chan *net.TCPConn, 4)
+			r := newRig(t, server(t, func(c net.Conn, in *bufio.Reader) {
+				conns <- c.(*net.TCPConn)
+				for {
+					if _, _, err := read(in); err != nil {
+						return
+					}
+					requests.Add(1)
+					io.WriteString(c, answer("200 OK", "right"))
+				}
+			}))
+			if got := r.carry(t, push(t.Context(), "POST", "/a", "body")); got != policy.Acked {
+				t.Fatal(got)
+			}
+			var idle *conn
+			for idle == nil || idle.stood() < rest {
+				r.kept.mu.Lock()
+				for c := range r.kept.conns {
+					idle = c
+				}
+				r.kept.mu.Unlock()
+			}
+			idle.mu.Lock() // the push stands at begin, the library's reader at what comes
+			r.Push(push(t.Context(), "POST", "/a", "body"))
+			end(<-conns)
+			for !idle.stirred() {
+				time.Sleep(time.Millisecond)
+			}
+			idle.mu.Unlock()
+			result := r.result(t)
+			if result.Outcome != policy.Acked || string(result.Body.Bytes()) != "right" {
+				t.Errorf("outcome %v", result.Outcome)
+			}
+			if n := requests.Load(); n != 2 {
+				t.Errorf("the server got %d requests", n)
+			}
+		})
+	}
+}
+
+// An at-most-once op under each way in which a push can end: never two pushes out, and none after one that may have run.
+func TestAtMostOnceOnSockets(t *testing.T) {
+	long := strings.Repeat("x", 60<<10)
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0) }
+	for name, c := range map[string]struct {
+		first func(net.Conn, *bufio.Reader) // what the server of the first push does with it
+		again bool                          // it surely never ran
+	}{
+		"reset after the whole":   {first: func(c net.Conn, in *bufio.Reader) { read(in); reset(c) }},
+		"closed after the whole":  {first: func(c net.Conn, in *bufio.Reader) { read(in) }},
+		"an error":                {first: func(c net.Conn, in *bufio.Reader) { read(in); io.WriteString(c, answer("500 Oops", "")) }},
+		"full, but not marked so": {first: func(c net.Conn, in *bufio.Reader) { read(in); io.WriteString(c, answer("503 Full", "")) }},
+		"half a head":             {first: func(c net.Conn, in *bufio.Reader) { read(in); io.WriteString(c, "HTTP/1.1 2") }},
+		"a short body": {first: func(c net.Conn, in *bufio.Reader) {
+			read(in)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nf")
+		}},
+		"no answer": {first: func(c net.Conn, in *bufio.Reader) { read(in); in.ReadByte() }},
+		"what is no answer": {first: func(c net.Conn, in *bufio.Reader) {
+			read(in)
+			io.WriteString(c, "nonsense\r\n\r\n")
+			in.ReadByte()
+		}},
+		"an answer byte by byte": {first: func(c net.Conn, in *bufio.Reader) {
+			read(in)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX-A: ")
+			for _, err := c.Write([]byte("a")); err == nil; _, err = c.Write([]byte("a")) {
+				time.Sleep(20 * time.Millisecond) // the stand-in's pace, no wait for a crossing
+			}
+		}},
+		"an answer before the whole": {first: func(c net.Conn, in *bufio.Reader) {
+			in.ReadString('\n')
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nf")
+			reset(c)
+		}},
+		"turned away": {again: true, first: func(c net.Conn, in *bufio.Reader) {
+			read(in)
+			io.WriteString(c, answer("503 Full", "", "X-Turned-Away: 1"))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests, out, most atomic.Int32
+			serve := func(conn net.Conn, in *bufio.Reader) {
+				for {
+					if _, err := in.Peek(1); err != nil {
+						return
+					}
+					now := out.Add(1)
+					for was := most.Load(); now > was && !most.CompareAndSwap(was, now); was = most.Load() {
+					}
+					if requests.Add(1) == 1 {
+						c.first(conn, in)
+						out.Add(-1)
+						return
+					}
+					read(in)
+					out.Add(-1)
+					io.WriteString(conn, answer("200 OK", "fine"))
+				}
+			}
+			module := policy.New(1, policy.Place{Tiers: 1, Nodes: 1, Tick: policy.Millisecond},
+				[]policy.Category{{Benefit: 1, Target: 400 * policy.Millisecond, TTL: 500 * policy.Millisecond, Repeat: policy.AtMostOnce}},
+				policy.PushRule{Max: 3, Dial: 100 * policy.Millisecond, Cancel: true},
+				policy.ColdRule{From: 1, Factor: 3, Window: policy.Second}, policy.RegistryRule{})
+			a := newActorOf(t, module, 100*time.Millisecond, 9, server(t, serve), server(t, serve))
+			op := a.opOf("only", long, 500*policy.Millisecond)
+			want, pushes := node.DeadLettered, int32(1)
+			if c.again {
+				want, pushes = node.Acked, 2
+			}
+			if v := verdict(t, op); v != want {
+				t.Errorf("the op: %v", v)
+			}
+			if n := requests.Load(); n != pushes || most.Load() > 1 {
+				t.Errorf("servers got %d pushes, %d at a time", n, most.Load())
+			}
+		})
+	}
+}
