An answer that a failing write did not wait for counts: the op may have run

Cause: the server had answered and reset while the rest of the request was being written; the write failed, the transport closed the connection, and nobody had read the answer, so passage.failure said "surely not run" (conn.Write, short). The write asks the kernel now whether bytes stand unread in front of the break.

The same test failed in two other ways that were the stand-in's: it counted a push as out after its answer, and took for a push what a node of another test asked a registry at a port that had been free. Ruled out as the program's by a trace of the module's effects: one push.

--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -133,6 +133,13 @@
 	c.wrote.Store(whole)
 	n, err := c.Conn.Write(b)
 	if n < len(b) {
+		// Danger: the server may have answered before it had read the whole, and broken then. The write learns of the break
+		// before anybody has read the answer, and the connection is closed on it.
+		if c.brought() {
+			c.mu.Lock()
+			c.came, c.broken = true, true
+			c.mu.Unlock()
+		}
 		c.wrote.Store(short)
 	}
 	return n, err
--- a/internal/servers/crossing_test.go
+++ b/internal/servers/crossing_test.go
@@ -296,10 +296,11 @@
 // empty has taken what waits; from then on it serves.
 func stuffed(t *testing.T, serve func(net.Conn, *bufio.Reader)) (addr string, empty func()) {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
+	syscall.CloseOnExec(fd)
 	file := os.NewFile(uintptr(fd), "listener")
 	defer file.Close()
 	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
@@ -463,8 +464,9 @@
 	long := strings.Repeat("x", 60<<10)
 	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0) }
 	for name, c := range map[string]struct {
-		first func(net.Conn, *bufio.Reader) // what the server of the first push does with it
+		first func(net.Conn, *bufio.Reader) // what the server of the first push does with it, to its end
 		again bool                          // it surely never ran
+		last  string                        // what it says at its end
 	}{
 		"reset after the whole":   {first: func(c net.Conn, in *bufio.Reader) { read(in); reset(c) }},
 		"closed after the whole":  {first: func(c net.Conn, in *bufio.Reader) { read(in) }},
@@ -495,14 +497,15 @@
 		}},
 		"turned away": {again: true, first: func(c net.Conn, in *bufio.Reader) {
 			read(in)
-			io.WriteString(c, answer("503 Full", "", "X-Turned-Away: 1"))
-		}},
+			// Its end comes before its answer is out, as the stand-in counts what is out at a time.
+		}, last: answer("503 Full", "", "X-Turned-Away: 1")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var requests, out, most atomic.Int32
 			serve := func(conn net.Conn, in *bufio.Reader) {
 				for {
-					if _, err := in.Peek(1); err != nil {
+					// Danger: nodes of other tests look for registries at ports that were free a moment ago.
+					if word, err := in.Peek(4); err != nil || string(word) != "POST" {
 						return
 					}
 					now := out.Add(1)
@@ -511,6 +514,7 @@
 					if requests.Add(1) == 1 {
 						c.first(conn, in)
 						out.Add(-1)
+						io.WriteString(conn, c.last)
 						return
 					}
 					read(in)
@@ -537,3 +541,49 @@
 		})
 	}
 }
+
+// The server answers, breaks, and the write learns of it first: nobody has read the answer yet. The test reads nothing, and
+// writes until the write fails.
+func TestAnsweredAndWriteFailsFirst(t *testing.T) {
+	for name, early := range map[string]string{"some of an answer": "HTTP/1.1 2", "nothing": ""} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			near, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer near.Close()
+			far, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			k := &keep{conns: make(map[*conn]bool)}
+			c := k.add(&conn{Conn: (&sockets.Part{}).Own(near), of: &peer{}, in: k, stall: bound})
+			p := push(t.Context(), "POST", "/a", "body")
+			w := &passage{push: p, body: p.Body.Again()}
+			c.begin(p)
+			w.with(c)
+			if _, err := c.Write([]byte("part")); err != nil {
+				t.Fatal(err)
+			}
+			io.ReadFull(far, make([]byte, 4))
+			io.WriteString(far, early)
+			far.(*net.TCPConn).SetLinger(0)
+			far.Close()
+			for err = error(nil); err == nil; {
+				_, err = c.Write([]byte("p"))
+			}
+			want := policy.Reset
+			if early == "" {
+				want = policy.ConnectFailed
+			}
+			if got := w.failure(t.Context()); got != want {
+				t.Errorf("outcome %v, not %v", got, want)
+			}
+		})
+	}
+}
