Tests: the late connection's op outlives its wait, the id of one that left comes back

Without keeping back, TestWaitsForAConnection passed: its op timed out at the moment when the connection came up.

--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -56,7 +56,8 @@
 			io.WriteString(running.Conn, request("POST", "/booking", "running"))
 			op := <-ops
 			gone := r.dial(t)
-			io.WriteString(gone.Conn, request("POST", "/booking", "gone"))
+			raw := request("POST", "/booking", "gone")
+			io.WriteString(gone.Conn, raw)
 			leave(gone.Conn.(*net.TCPConn))
 			waits := r.dial(t)
 			io.WriteString(waits.Conn, request("POST", "/booking", "waits"))
@@ -74,6 +75,20 @@
 			if len(r.left) > 0 {
 				t.Error("the actor heard of the one that left")
 			}
+			// Its id and its socket, the only one, have been given back: it may come again.
+			waits.Close()
+			again := r.dial(t)
+			io.WriteString(again.Conn, raw)
+			go func() {
+				select {
+				case op := <-ops:
+					served(op)
+				case <-t.Context().Done():
+				}
+			}()
+			if got := again.answer(); got != "200 POST /booking gone" {
+				t.Errorf("when it comes again: %s", got)
+			}
 		})
 	}
 }
--- a/internal/servers/crossing_test.go
+++ b/internal/servers/crossing_test.go
@@ -380,7 +380,7 @@
 	})
 	t.Cleanup(done) // before the stand-in waits for its connections
 	a := newActor(t, addr, bound)
-	first := a.op("first")
+	first := a.opOf("first", "body", policy.Micros(bound/time.Microsecond)) // its time-out would call it back as well
 	for begun := time.Now(); !dialing(t, addr); time.Sleep(time.Millisecond) {
 		if time.Since(begun) > bound {
 			t.Fatal("no dial is under way")
