--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -34,6 +34,23 @@
 		"a number stays with who had it first": {"members/table.go", "cmp.Compare(b.joined, a.joined)", "cmp.Compare(a.joined, b.joined)", "internal/fleet/members", "TestTable"},
 		"weights of drained servers change":    {"../node/peers.go", "e.State == policy.Ready && was != is", "was != is", "internal/node", "TestPeers"},
 		"weights look like a list that came":   {"../../policy/policy.go", "case !r.Ask || form == ListWeighed:", "case !r.Ask:", "policy", "TestWeighed"},
+		"older news keeps fresher out":         {"judged/judged.go", "!b.makeRoom(k.at)", "true", "internal/fleet/judged", "TestBounds"},
+
+		"a push goes on for a client that left":  {"../node/op.go", "if op.gone.Load() {\n\t\t\tp.fate", "if false {\n\t\t\tp.fate", "internal/node", "TestLeftInMailbox"},
+		"the kernel is not asked for the client": {"../node/op.go", "&& op.Client.Left()", "&& false", "internal/node", "TestKeptBack"},
+		"unsent pushes outlive their op":         {"../node/node.go", "if !push.ended {\n\t\t\tpush.keepBack()", "if false {\n\t\t\tpush.keepBack()", "internal/node", "TestKeptBack"},
+		"a drain calls nothing back":             {"../node/node.go", "n.callBack(before)\n", "_ = before\n", "internal/node", "TestKeptBack"},
+		"ops in hand outlive the process":        {"../node/node.go", "!op.settled {\n\t\t\tn.bound(op)", "!op.settled {\n\t\t\t_ = op", "internal/node", "TestKeptBack"},
+		"a push begins whatever it says":         {"../servers/conn.go", "!c.push.Begin()", "!c.push.Begin() && false", "internal/servers", "TestLeavesBeforeTheFirstByte"},
+		"an answer before a break is not seen":   {"../servers/conn.go", "c.raw); unread {", "c.raw); unread && false {", "internal/servers", "TestAnsweredAndWriteFailsFirst"},
+		"what was answered counts as never run":  {"../servers/peer.go", "!c.replied() && (", "(", "internal/servers", "TestAnsweredBeforeTheWhole"},
+		"a client that left is taken":            {"../clients/clients.go", "\t\tif h.ended {", "\t\tif false {", "internal/clients", "TestLeftInBacklog"},
+		"its id is not given back":               {"../clients/clients.go", "s.ids.give(id)\n\t\t\tbody", "body", "internal/clients", "TestLeftInBacklog"},
+		"unread bytes are closed away":           {"../clients/listener.go", " && !unread(c.tcp)", "", "internal/clients", "TestHalfUnread"},
+		"a silent watch waits":                   {"../registry/registry.go", "least := 1; errors.Is", "least := 1; false && errors.Is", "internal/registry", "TestWatch"},
+		"an older whole list is taken":           {"../registry/registry.go", "if generation < r.generation {", "if false {", "internal/registry", "TestWatch"},
+		"a watch comes back ever later":          {"../registry/registry.go", "most = min(most, grace/2)", "_ = grace", "internal/registry", "TestUnaskedSpread"},
+		"an op without benefit is nacked":        {"../../policy/policy.go", "cmp.Or(n.levels[len(n.levels)-1], 1)", "n.levels[len(n.levels)-1]", "policy", "TestNoBenefit"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			path, err := filepath.Abs(c.file)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -226,7 +226,8 @@
 	}
 }
 
-// welcome tells those who have come all that is held, a few in a beat, and forgets those who have gone. It says whether
+// welcome tells those who have come what is held, the youngest first and as much as one datagram takes, a few in a beat, and forgets
+// those who have gone. It says whether
 // all have been told.
 func (f *Fleet) welcome(others []members.Member, told map[way.LifeID]bool, payload []byte) bool {
 	here := make(map[way.LifeID]bool, len(others))
--- a/internal/fleet/judged/judged.go
+++ b/internal/fleet/judged/judged.go
@@ -130,7 +130,7 @@
 	if since, started := b.anew[r.Server]; started && k.at < since {
 		return
 	}
-	if all == nil && len(b.servers) >= mostServers {
+	if all == nil && len(b.servers) >= mostServers && !b.makeRoom(k.at) {
 		return
 	}
 	i := slices.IndexFunc(all, func(o kept) bool { return o.Source == r.Source })
@@ -160,6 +160,23 @@
 	b.servers[r.Server] = all
 }
 
+// makeRoom lets go the server whose youngest evidence is the oldest of all, if it is older than at. Danger: one node that tells of
+// many servers would keep out all that is news of others for as long as a report is kept.
+func (b *Book) makeRoom(at policy.Micros) bool {
+	var oldest policy.ServerID
+	youngest := at
+	for server, all := range b.servers {
+		last := slices.MaxFunc(all, func(a, b kept) int { return cmp.Compare(a.at, b.at) }).at
+		if last < youngest || last == youngest && last < at && server < oldest {
+			oldest, youngest = server, last
+		}
+	}
+	if youngest < at {
+		delete(b.servers, oldest)
+	}
+	return youngest < at
+}
+
 // Forget lets go what is too old.
 func (b *Book) Forget(now policy.Micros) {
 	b.now = now
--- a/internal/fleet/judged/judged_test.go
+++ b/internal/fleet/judged/judged_test.go
@@ -76,7 +76,20 @@
 	if len(b.servers) != mostServers || len(b.servers[0]) != mostSources {
 		t.Errorf("%d servers, %d sources", len(b.servers), len(b.servers[0]))
 	}
-	if b.Forget(now + keep + 1); len(b.servers) != 0 {
+	// What is fresher takes the place of what is older, and of what is as fresh nothing does: one that tells of many servers keeps
+	// out no news.
+	const news = policy.ServerID(1 << 40)
+	say := func(at policy.Micros) bool {
+		b.Hear(at, []Report{{Server: news, Source: 2, Node: 2, Ill: Down}})
+		return len(b.servers) == mostServers && len(b.servers[news]) > 0
+	}
+	if say(now) {
+		t.Error("a report took the place of one as fresh")
+	}
+	if !say(now + 1) {
+		t.Error("a fresher report was kept out")
+	}
+	if b.Forget(now + keep + 2); len(b.servers) != 0 {
 		t.Errorf("%d servers are not forgotten", len(b.servers))
 	}
 }
