--- a/cmd/canvasrouter/crossing_test.go
+++ b/cmd/canvasrouter/crossing_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -124,3 +125,76 @@
 		t.Errorf("SIGHUP was lost: %s", p.log.String())
 	}
 }
+
+// SIGHUP removes a category while an op of it is in hand, and moves another one's place while half a request of it is read: both
+// end under the settings that read them, once, and what comes from then on is read by the new ones.
+func TestSwitchCrossings(t *testing.T) {
+	held, finish := make(chan bool, 1), make(chan bool)
+	var mu sync.Mutex
+	seen := map[string]int{}
+	stand := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		seen[r.Header.Get("X-Txn")]++
+		mu.Unlock()
+		switch r.Header.Get("X-Txn") {
+		case "held":
+			held <- true
+			<-finish
+		case "half": // it may have run: by its own category it must not run again, by the one that has its place now it may
+			io.Copy(io.Discard, r.Body)
+			if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+			return
+		}
+		fmt.Fprint(w, r.Header.Get("X-Txn"))
+	}))
+	defer stand.Close()
+	done := sync.OnceFunc(func() { close(finish) })
+	defer done()
+	addr := free(t)
+	with := func(more []string) []string {
+		return append([]string{"127.0.0.1:8500", free(t), "127.0.0.1:8081", addr, "127.0.0.1:8181", strings.TrimPrefix(stand.URL, "http://")}, more...)
+	}
+	p := start(t, func(*process) {}, with(moved)...)
+	awaitReady(t, addr)
+	request := func(line, id, more string) string {
+		return fmt.Sprintf("%s HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining-Ms: 9000\r\n%s\r\n", line, id, more)
+	}
+	inHand, half := dialRaw(t, addr), dialRaw(t, addr)
+	half.send(request("POST /pay/1", "half", "Expect: 100-continue\r\nContent-Length: 4\r\n"))
+	// The node asks for the body once it has read the head, by the settings that stand.
+	if line, err := half.in.ReadString('\n'); !strings.Contains(line, "100") {
+		t.Fatalf("%q, %v", line, err)
+	}
+	half.in.ReadString('\n')
+	half.send("bo")
+	inHand.send(request("GET /lookup", "held", ""))
+	<-held
+	p.configure(t, with(stayed)...)
+	p.Process.Signal(syscall.SIGHUP)
+	for begun := time.Now(); ; {
+		later := dialRaw(t, addr)
+		later.send(request("GET /lookup", fmt.Sprint("later-", time.Since(begun)), ""))
+		if strings.HasPrefix(later.answer(), "404 ") { // the category is gone
+			break
+		}
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("the category is still there")
+		}
+	}
+	half.send("dy")
+	if answer := half.answer(); answer != "502 <nil>" {
+		t.Errorf("the half request: %s", answer)
+	}
+	done()
+	if answer := inHand.answer(); answer != "200 held<nil>" {
+		t.Errorf("the op in hand: %s", answer)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if seen["held"] != 1 || seen["half"] != 1 {
+		t.Errorf("pushes: %v", seen)
+	}
+}
