Test: the room comes back once the op cut short has its answer; crossings' counts

TestWaitsForASocket, the process ends: the message that sets the end had been read, its timer had not fired, and the push that began meanwhile was no fault.

--- a/internal/servers/crossing_test.go
+++ b/internal/servers/crossing_test.go
@@ -146,17 +146,23 @@
 				time.Sleep(time.Millisecond)
 			}
 			want := meanwhile(a, first)
-			// The actor has read of it when it has read of this.
-			if _, err := a.Switch(&node.Generation{Options: node.Options{MostOpen: 9}, Module: eager{}}); err != nil {
-				t.Fatal(err)
+			answered := func() {
+				if v := verdict(t, first); v != want {
+					t.Errorf("the first op: %v", v)
+				}
+			}
+			if want == node.DeadLettered { // it stays in hand: the actor has read of the drain when it has read of this
+				if _, err := a.Switch(&node.Generation{Options: node.Options{MostOpen: 9}, Module: eager{}}); err != nil {
+					t.Fatal(err)
+				}
+				defer answered()
+			} else {
+				answered()
 			}
 			for range a.part.Size() {
 				a.part.Give()
 			}
-			if v := verdict(t, first); v != want {
-				t.Errorf("the first op: %v", v)
-			}
-			a.EndBy(a.clock.Now() + policy.Second)
+			a.EndBy(a.clock.Now() + policy.Micros(bound/time.Microsecond)) // the process goes on, for the second op
 			a.Listed(a.list(policy.Ready))
 			if v := verdict(t, a.op("second")); v != node.Acked {
 				t.Errorf("the second op: %v", v)
