A client that has gone gets no attempt 10 ms later: who was there is asked by the op's age

A push younger than 50 ms never asked for its client (longWait counted from the push, internal/node/op.go), and a client that left bytes unread was looked for each 0.1 s alone (lookEvery): a further push of an old op could begin up to 0.1 s and the node's own delay after the close.

Change: an op remembers when its client was last known to be there; the actor before each step on the op and the carrier before the first byte ask the kernel where that is 10 ms ago. The look for unread ends comes each 50 ms. An ordinary first push asks nobody.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -43,7 +43,7 @@
 	killTTL        = 3 * time.Second        // which counts for no more than this
 	exitTime       = 200 * time.Millisecond // of it, to close what is open and to exit
 	coarse         = 10 * time.Millisecond  // the kernel tells times in steps of some milliseconds
-	lookEvery      = 100 * time.Millisecond // for a client that has left unread
+	lookEvery      = 50 * time.Millisecond  // for a client that has left unread
 	statusLeft     = -1                     // nobody to answer
 	statusNack     = http.StatusServiceUnavailable
 	statusDead     = http.StatusBadGateway
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -96,11 +96,38 @@
 			chain(once(policy.OpArrived, pushFor(300)), again(policy.PushEnded, pushFor(300))),
 			func(r *rig, op *Op) {
 				op.Client = hasLeft{}
-				after(51)
+				after(11)
 				r.begin(0)
 				r.answer(op)
 			},
-			[]string{"carrier: keeps it back", "module: ended push 0 moot after 51 ms settled true", "client: left"}},
+			[]string{"carrier: keeps it back", "module: ended push 0 moot after 11 ms settled true", "client: left"}},
+		// Danger: its push is new, but the op has waited for long.
+		"the client has left, nobody has noticed, and a push ends": {
+			chain(once(policy.OpArrived, pushFor(300)), again(policy.PushEnded, pushFor(300))),
+			func(r *rig, op *Op) {
+				r.begin(0)
+				op.Client = hasLeft{}
+				after(11)
+				r.end(0, policy.Reset)
+				r.answer(op)
+				if len(r.pushes) > 1 {
+					r.note("pushed again for nobody")
+				}
+			},
+			[]string{"carrier: begins", "module: ended push 0 reset after 11 ms settled true", "client: left"}},
+		"the client leaves right after a push was made, and it waits": {
+			chain(once(policy.OpArrived, pushFor(300)), again(policy.PushEnded, pushFor(300))),
+			func(r *rig, op *Op) {
+				r.begin(0)
+				after(100)
+				r.end(0, policy.Reset)
+				op.Client = hasLeft{}
+				after(10)
+				r.begin(1)
+				r.answer(op)
+			},
+			[]string{"carrier: begins", "module: ended push 0 reset after 100 ms settled false", "carrier: keeps it back",
+				"module: ended push 1 moot after 10 ms settled true", "client: left"}},
 		"its server starts anew": {chain(once(policy.OpArrived, pushFor(300)), again(policy.PushEnded, pushFor(200))),
 			func(r *rig, op *Op) {
 				r.Listed(&List{Form: policy.ListChanges, Addrs: []string{"127.0.0.1:1"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,7 +250,7 @@
 		n.settle(op, Answer{Verdict: Nacked}) // nothing of it has run, and its category's number may be another's by now
 		return
 	}
-	if op.gone.Load() {
+	if !op.stays() {
 		n.settle(op, Answer{Verdict: Left}) // nobody waits for it, and the module never hears of it
 		return
 	}
@@ -343,7 +343,7 @@
 	if !policy.NeverRan(result.Outcome) {
 		op.ran = true
 	}
-	if op.gone.Load() {
+	if !op.stays() {
 		n.settle(op, Answer{Verdict: Left}) // or the module would push it again
 	}
 	op.out--
@@ -503,8 +503,7 @@
 		n.log.Error().Uint32("op", uint32(e.Op)).Msg("push of an op that is not in hand")
 		return
 	}
-	push := &Push{Request: &op.Request, Server: e.Server, op: op, no: policy.PushNo(len(op.pushes)), sent: n.now,
-		made: time.Now()}
+	push := &Push{Request: &op.Request, Server: e.Server, op: op, no: policy.PushNo(len(op.pushes)), sent: n.now}
 	push.Context, push.cancel = context.WithCancel(context.Background())
 	op.pushes = append(op.pushes, push)
 	op.out++
@@ -512,7 +511,7 @@
 	if e.For > 0 {
 		push.For = min(push.For, e.For)
 	}
-	if op.settled || op.gone.Load() || push.For <= 0 {
+	if op.settled || !op.stays() || push.For <= 0 {
 		// Danger: an op that is over, or out of time, would run for nobody.
 		push.ended = true
 		op.out--
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -86,8 +86,10 @@
 	Generation int
 	Client     Client // nil: it can't be asked
 
-	answer  chan Answer // holds one: the actor never waits for a client
-	gone    atomic.Bool // the client has left; known before the actor reads of it
+	answer  chan Answer  // holds one: the actor never waits for a client
+	made    time.Time    // when its client was there
+	there   atomic.Int64 // nanoseconds past made when the client was there still, as far as anybody has asked
+	gone    atomic.Bool  // the client has left; known before the actor reads of it
 	of      *Generation
 	id      policy.OpID
 	settled bool
@@ -97,8 +99,8 @@
 	end     *timer // by then it is answered, by whoever
 }
 
-// NewOp makes an op that can be waited for.
-func NewOp() *Op { return &Op{answer: make(chan Answer, 1)} }
+// NewOp makes an op that can be waited for. Its client was there a moment ago.
+func NewOp() *Op { return &Op{answer: make(chan Answer, 1), made: time.Now()} }
 
 // Answer gives the op its answer. Only the module's actor calls it, once.
 func (o *Op) Answer(a Answer) { o.answer <- a }
@@ -117,7 +119,6 @@
 	op      *Op
 	no      policy.PushNo
 	fate    atomic.Uint32 // whether its first byte may be written
-	made    time.Time
 	cancel  context.CancelFunc
 	sent    policy.Micros
 	ended   bool // told to the module
@@ -131,8 +132,25 @@
 	keptBack
 )
 
-// longWait is how long a push may have waited without its client being asked for again. Each asking is a system call.
-const longWait = 50 * time.Millisecond
+// askAfter is how long a client counts as being there without being asked for again. Each asking is a system call.
+//
+// Danger: an attempt that begins more than 0.1 s after its client's close runs for nobody, and that time holds all that comes
+// between: the close's way here, a timer that is late, a push that was made a moment ago for an op that has waited for long.
+const askAfter = 10 * time.Millisecond
+
+// stays says whether the op's client is there still, as known less than askAfter ago. Any goroutine may ask.
+func (o *Op) stays() bool {
+	if o.Client != nil && !o.gone.Load() {
+		if now := int64(time.Since(o.made)); now-o.there.Load() >= int64(askAfter) {
+			if o.Client.Left() {
+				o.gone.Store(true)
+			} else {
+				o.there.Store(now)
+			}
+		}
+	}
+	return !o.gone.Load()
+}
 
 // Begin is asked by who carries the push, right before its first byte is written. Once it has said yes the push may have
 // run; once it has said no, nothing of it is ever written.
@@ -140,13 +158,8 @@
 // Danger: a push waits for its connection, its socket or its turn, and its client leaves meanwhile; written then, it
 // would run for nobody. The actor may not have read of the leaving yet, nor the client's side have seen it.
 func (p *Push) Begin() bool {
-	if op := p.op; op != nil {
-		if op.Client != nil && p.fate.Load() == unsent && time.Since(p.made) > longWait && op.Client.Left() {
-			op.gone.Store(true)
-		}
-		if op.gone.Load() {
-			p.fate.CompareAndSwap(unsent, keptBack)
-		}
+	if p.op != nil && p.fate.Load() == unsent && !p.op.stays() {
+		p.fate.CompareAndSwap(unsent, keptBack)
 	}
 	return p.fate.CompareAndSwap(unsent, begun) || p.fate.Load() == begun
 }
