Test: idle clients fill every descriptor while the registry is down; the list is heard at its return

The new term allows idle clients to fill the descriptors while discovery is down. No change was needed: the registry has room of its own (sockets.Split). Seen to fail where the reserve for the process's own files is taken out (TestFaultsAreSeen); taking the registry's room out of the clients' part is not seen, since whoever waits for room sheds idle connections there too.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -41,6 +41,7 @@
 		"a client counts as there for long":      {"../node/op.go", "askAfter = 10", "askAfter = 110", "internal/node", "TestKeptBack"},
 		"a hung call is waited for alone":        {"../registry/registry.go", "if out < 2 {", "if out < 1 {", "internal/registry", "TestToldOnceBack$"},
 		"nobody asks where the module does not":  {"../registry/registry.go", "case <-time.After(wait):\n\t\tr.Watch()", "case <-time.After(wait):\n\t\tif r.unasked.Load() {\n\t\t\tr.Watch()\n\t\t}", "internal/registry", "TestToldOnceBackOnSockets"},
+		"clients can take every descriptor":      {"../sockets/sockets.go", "reserve = 24", "reserve = -60", "cmd/canvasrouter", "TestIdleCrowd"},
 		"unsent pushes outlive their op":         {"../node/node.go", "if !push.ended {\n\t\t\tpush.keepBack()", "if false {\n\t\t\tpush.keepBack()", "internal/node", "TestKeptBack"},
 		"a drain calls nothing back":             {"../node/node.go", "n.callBack(before)\n", "_ = before\n", "internal/node", "TestKeptBack"},
 		"ops in hand outlive the process":        {"../node/node.go", "!op.settled {\n\t\t\tn.bound(op)", "!op.settled {\n\t\t\t_ = op", "internal/node", "TestKeptBack"},
