A request read as its connection is shut is not taken; the backlog is refused, not reset, at the end

A half request that ends in the microseconds of its closing: conns.closeHalf looked, let go of its lock and closed; a handler whose last byte came between the two took the op and pushed it for nobody (listener.go, clients.go). The same where an idle connection gives way or a shutdown closes it while the library has a request in its buffer. One word of the connection (resting, taken, shut) decides now who was first; TestWholeAsItIsShut forces it, and fails with the check taken out.

A backlog while the budget is spent for 0.7 s: the listener closed and the kernel reset whole requests that had been accepted. For 0.3 s at most they are now read, refused with 503 and closed, four side by side on the reserve's descriptors. TestBacklogAtTheEnd: 18 of 18 refused; all reset with it taken out.

--- a/internal/clients/clients.go
+++ b/internal/clients/clients.go
@@ -330,9 +330,9 @@
 	now := s.clock.Now()
 	if c, ok := connOf(r); ok {
 		h := received(c.tcp)
-		if h.ended {
+		if h.ended || !c.take() {
 			// Danger: the op waited in the backlog, for a socket or for this process's core, and its client has left
-			// meanwhile; the library would notice after it has been pushed.
+			// meanwhile, or the connection was closed here; the library would notice after it has been pushed.
 			s.ids.give(id)
 			body.Release()
 			return nil, statusLeft, ""
@@ -340,7 +340,6 @@
 		if h.since > coarse {
 			now -= min(policy.Micros(h.since/time.Microsecond), policy.Micros(remaining)*policy.Millisecond)
 		}
-		c.inHand.Store(true)
 	}
 	control.SetReadDeadline(time.Time{}) // or it would look as if the client had left
 	control.SetWriteDeadline(time.Now().Add(time.Duration(remaining)*time.Millisecond + writeWait))
--- a/internal/clients/crossing_test.go
+++ b/internal/clients/crossing_test.go
@@ -187,7 +187,7 @@
 			t.Errorf("got %s, not %s", got, want)
 		}
 	}
-	await(t, "the answers are not out", func() bool { return !inHand.inHand.Load() && !own.inHand.Load() })
+	await(t, "the answers are not out", func() bool { return !inHand.holds() && !own.holds() })
 	third := r.dial(t)
 	io.WriteString(third.Conn, raw[:len(raw)-2])
 	other := r.only(t, inHand, own)
@@ -200,6 +200,79 @@
 	})
 }
 
+// The last byte of a half request comes in the moment between the look and the close, or on a connection that gives way to
+// others, or once the library has read what a shutdown closes. It is not taken; its id is free again, and the next op is served.
+func TestWholeAsItIsShut(t *testing.T) {
+	for name, shuts := range map[string]func(r *rig, own *conn){
+		"a restart closes half requests": func(r *rig, own *conn) { own.phase.CompareAndSwap(resting, shut) },
+		"it gives way":                   func(r *rig, own *conn) { own.phase.Store(shut) }, // Close, between its two lines
+	} {
+		t.Run(name, func(t *testing.T) {
+			ops := make(chan *node.Op, 2)
+			r := start(t, 9, func(op *node.Op) { ops <- op })
+			half := r.dial(t)
+			raw := request("POST", "/booking", "half")
+			io.WriteString(half.Conn, raw[:len(raw)-2])
+			own := r.only(t)
+			await(t, "half a request was not read", func() bool { return own.read.Load() > 0 })
+			shuts(r, own)
+			io.WriteString(half.Conn, raw[len(raw)-2:])
+			if got := half.answer(); got != "closed" {
+				t.Errorf("got %s", got)
+			}
+			again := r.dial(t)
+			io.WriteString(again.Conn, raw)
+			select {
+			case op := <-ops:
+				served(op)
+			case <-time.After(bound):
+				t.Fatal("its id was not given back")
+			}
+			if got := again.answer(); got != "200 POST /booking half" || len(ops) > 0 {
+				t.Errorf("when it comes again: %s; %d ops more were taken", got, len(ops))
+			}
+		})
+	}
+}
+
+// The budget is spent to the end of a restart's linger by a running op. Whole requests that wait in the backlog till then are refused, not
+// reset; half ones and silent ones are let go.
+func TestBacklogAtTheEnd(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := start(t, 1, func(op *node.Op) { ops <- op })
+	running := r.dial(t)
+	io.WriteString(running.Conn, request("POST", "/booking", "running"))
+	op := <-ops
+	var waiting []*client
+	for i := range 24 {
+		c := r.dial(t)
+		switch raw := request("POST", "/booking", "waits"); {
+		case i%8 == 6:
+			io.WriteString(c.Conn, raw[:len(raw)-2])
+		case i%8 < 6:
+			io.WriteString(c.Conn, raw)
+			waiting = append(waiting, c)
+		}
+	}
+	var drained sync.WaitGroup
+	begun := time.Now()
+	drained.Go(func() { r.Drain(r.served, true) })
+	for i, c := range waiting {
+		if got := c.answer(); got != "503 close" {
+			t.Errorf("request %d in the backlog: %s", i, got)
+		}
+	}
+	took := time.Since(begun)
+	if by := linger + 4*quietWindow + refuseFor + 500*time.Millisecond; took > by {
+		t.Errorf("refused after %v", took)
+	}
+	served(op)
+	if got := running.answer(); got != "200 close POST /booking running" && got != "200 POST /booking running" {
+		t.Errorf("the running op: %s", got)
+	}
+	drained.Wait()
+}
+
 // Bytes that wait unread are not closed away: this process may have had to wait for its core.
 func TestHalfUnread(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/clients/listener.go
+++ b/internal/clients/listener.go
@@ -1,8 +1,11 @@
 package clients
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -41,7 +44,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for !l.room() {
 		if l.ctx.Err() != nil {
-			l.TCPListener.Close()
+			l.close()
 			return nil, net.ErrClosed
 		}
 	}
@@ -60,7 +63,7 @@
 			continue
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			err = net.ErrClosed
-			l.TCPListener.Close()
+			l.close()
 		}
 		l.part.Give()
 		return nil, err
@@ -91,6 +94,58 @@
 	time.AfterFunc(linger+4*quietWindow, l.end) // should it be waiting for a socket
 }
 
+const (
+	// refuseFor is how long what waits in the backlog is refused before the listener closes.
+	refuseFor = 300 * time.Millisecond
+	// refusals go on side by side, with sockets of the reserve for the process's own files.
+	refusals = 4
+	// refuseWait is how long a request that is refused may take to come, and its client to go.
+	refuseWait = 20 * time.Millisecond
+)
+
+// close refuses what waits in the backlog, and closes. Danger: a request whose connection the machine has accepted counts as taken.
+// Where the budget is spent to the end, or clients connect without a break, closing would reset it unanswered.
+func (l *listener) close() {
+	end := time.Now().Add(refuseFor)
+	var all sync.WaitGroup
+	room := make(chan struct{}, refusals)
+	for by := time.Now().Add(refuseWait); by.Before(end); by = time.Now().Add(refuseWait) {
+		l.SetDeadline(by)
+		tcp, err := l.AcceptTCP()
+		if err != nil {
+			break
+		}
+		room <- struct{}{}
+		all.Go(func() {
+			refuse(tcp)
+			<-room
+		})
+	}
+	l.TCPListener.Close()
+	all.Wait()
+}
+
+// refuse answers one whole request with a nack, and closes. Danger: a close over unread bytes would reset the answer away.
+func refuse(tcp *net.TCPConn) {
+	defer tcp.Close()
+	tcp.SetDeadline(time.Now().Add(refuseWait))
+	in := bufio.NewReader(tcp)
+	if r, err := http.ReadRequest(in); err == nil {
+		if _, err = io.Copy(io.Discard, r.Body); err == nil {
+			fmt.Fprintf(tcp, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", statusNack, http.StatusText(statusNack))
+			tcp.CloseWrite()
+			io.Copy(io.Discard, in)
+		}
+	}
+}
+
+// What a connection holds. From shut there is no way back, so that who closes and who takes a request agree.
+const (
+	resting uint32 = iota // no whole request
+	taken                 // a whole request that is not answered yet
+	shut                  // closed here: what is read on it from now on is not taken
+)
+
 // conn is a client's connection.
 type conn struct {
 	*sockets.Conn
@@ -98,12 +153,25 @@
 	came  time.Time
 	asked bool // a request with a body wait of its own has been read; the handler's
 
-	reading atomic.Bool  // the library waits for what comes next, and so for the client's end
-	inHand  atomic.Bool  // a whole request of it is not answered yet
+	reading atomic.Bool // the library waits for what comes next, and so for the client's end
+	phase   atomic.Uint32
 	read    atomic.Int64 // how long after came the library last got something
 	look    *time.Timer  // for an end that the library does not notice; the handler's, made by its first op
 }
 
+// Close closes the connection. Danger: bytes may come in the very moment in which it is closed, and the library may have read them
+// already; a request that is taken then has nobody to answer.
+func (c *conn) Close() error {
+	c.phase.Store(shut)
+	return c.Conn.Close()
+}
+
+// take says that a whole request has been read, unless the connection was closed before.
+func (c *conn) take() bool { return c.phase.CompareAndSwap(resting, taken) }
+
+// holds says that a whole request is not answered yet.
+func (c *conn) holds() bool { return c.phase.Load() == taken }
+
 func (c *conn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
@@ -115,7 +183,7 @@
 // half says that the connection holds no whole request, and that for a while nothing has come on it. Danger: what came
 // may wait unread, or be read and not yet counted, while this process waits for its core.
 func (c *conn) half(quiet time.Duration) bool {
-	return !c.inHand.Load() && time.Since(c.came)-time.Duration(c.read.Load()) >= quiet &&
+	return !c.holds() && time.Since(c.came)-time.Duration(c.read.Load()) >= quiet &&
 		received(c.tcp).since >= quiet && !unread(c.tcp)
 }
 
@@ -153,7 +221,7 @@
 		}
 		c.open[own] = true
 	case http.StateIdle:
-		own.inHand.Store(false) // its answer is out
+		own.phase.CompareAndSwap(taken, resting) // its answer is out
 	case http.StateClosed, http.StateHijacked:
 		delete(c.open, own)
 	}
@@ -179,7 +247,9 @@
 	}
 	c.mu.Unlock()
 	for _, own := range half {
-		own.Close()
+		if own.phase.CompareAndSwap(resting, shut) { // its last byte may have come since
+			own.Close()
+		}
 	}
 }
 
