canvaslab scale and capacity: hollow and real nodes at many sizes, records, the page from them

Need: the page of capacity has to come from measured slopes. scale plays members (joining, calm, a tenth killed, a zone lost, a region cut for an hour by a factor of 120 and back), judgements, the list with its release and the registry's return, starts, and the call's path; with processes of the program or hollow nodes, which run the real members, judgements, module's actor and list's actor.

members.Options has the time that gone members are kept; way counts bytes by kind and on streams; the relay counts what streams bring.

--- a/cmd/canvaslab/main.go
+++ b/cmd/canvaslab/main.go
@@ -30,18 +30,20 @@
 )
 
 type commands struct {
-	List    listCommand    `cmd:"" help:"Show the experiments, or the kinds of trouble and faults."`
-	Run     runCommand     `cmd:"" help:"Play an experiment. The exit code is 1 if an expectation was not met."`
-	Compare compareCommand `cmd:"" help:"Play an experiment with A and B in turn, on the same seeds, and show the difference with its noise."`
-	Record  recordCommand  `cmd:"" help:"Write the arrivals of an experiment, or of real traffic that passes through, to a trace."`
-	Replay  replayCommand  `cmd:"" help:"Play an experiment's fleet and troubles with the arrivals of a trace."`
-	Up      upCommand      `cmd:"" help:"Start an experiment's fleet and nodes without a load, until interrupted."`
-	Table   tableCommand   `cmd:"" help:"Play experiments with the module and the baselines, and print a table in Markdown."`
-	Count   countCommand   `cmd:"" help:"Count over the logs of a whole fleet what all its nodes do together."`
-	Members membersCommand `cmd:"" help:"Start processes that hear each other, and measure how long they take to agree on who is there."`
-	Versus  versusCommand  `cmd:"" help:"Compare the node's throughput and delay with net/http's reverse proxy, in one run."`
-	Proxy   proxyCommand   `cmd:"" hidden:"" help:"Be a plain reverse proxy."`
-	Node    nodeCommand    `cmd:"" hidden:"" help:"Be a node of the laboratory; NODE_CONFIG names its configuration."`
+	List     listCommand     `cmd:"" help:"Show the experiments, or the kinds of trouble and faults."`
+	Run      runCommand      `cmd:"" help:"Play an experiment. The exit code is 1 if an expectation was not met."`
+	Compare  compareCommand  `cmd:"" help:"Play an experiment with A and B in turn, on the same seeds, and show the difference with its noise."`
+	Record   recordCommand   `cmd:"" help:"Write the arrivals of an experiment, or of real traffic that passes through, to a trace."`
+	Replay   replayCommand   `cmd:"" help:"Play an experiment's fleet and troubles with the arrivals of a trace."`
+	Up       upCommand       `cmd:"" help:"Start an experiment's fleet and nodes without a load, until interrupted."`
+	Table    tableCommand    `cmd:"" help:"Play experiments with the module and the baselines, and print a table in Markdown."`
+	Count    countCommand    `cmd:"" help:"Count over the logs of a whole fleet what all its nodes do together."`
+	Members  membersCommand  `cmd:"" help:"Start processes that hear each other, and measure how long they take to agree on who is there."`
+	Scale    scaleCommand    `cmd:"" help:"Measure what a part of the fleet costs at several sizes, and keep records for the page of capacity."`
+	Capacity capacityCommand `cmd:"" help:"Work the page of capacity out from the records."`
+	Versus   versusCommand   `cmd:"" help:"Compare the node's throughput and delay with net/http's reverse proxy, in one run."`
+	Proxy    proxyCommand    `cmd:"" hidden:"" help:"Be a plain reverse proxy."`
+	Node     nodeCommand     `cmd:"" hidden:"" help:"Be a node of the laboratory; NODE_CONFIG names its configuration."`
 }
 
 // errNotMet says that an expectation was not met; what it was is printed already.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,6 +65,11 @@
 
 // Start opens the node's way and begins to hear. The node is told what others judge, and tells what it sees, from Join on.
 func Start(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger) (*Fleet, error) {
+	return StartKeeping(c, n, clock, log, 0)
+}
+
+// StartKeeping is Start, where members that are gone are kept for another time than usual: a test of long cuts has no hours.
+func StartKeeping(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger, keep time.Duration) (*Fleet, error) {
 	f := &Fleet{config: c.Fleet, clock: clock, log: log, node: n, number: uint16(c.Rules.Place.Number), done: make(chan struct{}),
 		started: make(map[policy.ServerID]policy.Micros)}
 	life := way.LifeID(rand.Uint64()) // Danger: not from the seed, which a process that is back has again
@@ -89,7 +94,7 @@
 		f.words = words.Start(f.way, f.holder, n.Said)
 	}
 	own := members.Member{Name: c.Name, Life: life, Zone: zone, Number: c.Rules.Place.Number, Addr: c.Fleet.Advertise}
-	f.members, err = members.Start(members.Options{Own: own, Nodes: c.Rules.Place.Nodes, Join: c.Fleet.Join, Seed: c.Seed}, f.way, clock,
+	f.members, err = members.Start(members.Options{Own: own, Nodes: c.Rules.Place.Nodes, Join: c.Fleet.Join, Seed: c.Seed, Keep: keep}, f.way, clock,
 		log.With().Str("part", "members").Logger())
 	if err != nil {
 		f.end()
@@ -118,6 +123,9 @@
 	f.log.Info().Msg("the node hears nobody any more")
 }
 
+// Kill ends it all without a word to anybody, as the end of a process would.
+func (f *Fleet) Kill() { f.end() }
+
 func (f *Fleet) end() {
 	close(f.done)
 	if f.control != nil {
@@ -133,6 +141,27 @@
 	f.over.Wait()
 }
 
+// Others gives all others that are there. The slice is shared: it is read alone.
+func (f *Fleet) Others() []members.Member { return f.members.There() }
+
+// Life is this process's among the members.
+func (f *Fleet) Life() way.LifeID { return f.way.Life() }
+
+// Counts gives what has become of frames so far.
+func (f *Fleet) Counts() way.Counts { return f.way.Counts() }
+
+// Lowered is how many servers others' findings have taken more than half of the weight of.
+func (f *Fleet) Lowered() (n int) {
+	f.books.Lock()
+	defer f.books.Unlock()
+	for _, w := range f.weights {
+		if w.Part < 1.0/2 {
+			n++
+		}
+	}
+	return n
+}
+
 func (f *Fleet) holder(number int) (netip.AddrPort, bool) {
 	m, known := f.members.Holder(number)
 	return m.Addr, known
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -37,6 +37,7 @@
 	Nodes int // that the settings tell of
 	Join  []netip.AddrPort
 	Seed  uint64
+	Keep  time.Duration // how long one that is gone is kept; 0: ten minutes
 }
 
 // Members is the actor. Its methods may be called from any goroutine and don't wait, but for Leave and Close.
@@ -61,6 +62,9 @@
 func Start(o Options, w *way.Way, clock *node.Clock, log zerolog.Logger) (*Members, error) {
 	m := &Members{options: o, way: w, clock: clock, log: log, packets: make(chan *memberlist.Packet, packets),
 		done: make(chan struct{}), table: NewTable(o.Own, o.Nodes)}
+	if o.Keep > 0 {
+		m.table.keep = policy.Micros(o.Keep.Microseconds())
+	}
 	m.there.Store(new([]Member))
 	w.Handle(way.Membership, m.packet)
 	config := memberlist.DefaultLANConfig()
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -90,11 +90,12 @@
 	members map[way.LifeID]*Member
 	joins   uint64
 	numbers map[int][]*Member // those there, by number; who joined last is first
+	keep    policy.Micros     // how long one that is gone is kept
 }
 
 // NewTable begins with the node itself, and how many nodes its settings tell of.
 func NewTable(own Member, nodes int) *Table {
-	return &Table{own: own, nodes: nodes, members: make(map[way.LifeID]*Member), numbers: make(map[int][]*Member)}
+	return &Table{own: own, nodes: nodes, members: make(map[way.LifeID]*Member), numbers: make(map[int][]*Member), keep: keepGone}
 }
 
 // Heard says that a member is there.
@@ -189,7 +190,7 @@
 // Forget lets those go that are gone for long.
 func (t *Table) Forget(now policy.Micros) {
 	for life, m := range t.members {
-		if !m.State.there() && now-m.Since > keepGone {
+		if !m.State.there() && now-m.Since > t.keep {
 			delete(t.members, life)
 		}
 	}
--- a/internal/fleet/way/stream.go
+++ b/internal/fleet/way/stream.go
@@ -72,6 +72,7 @@
 			return 0, s.harm(errSum)
 		}
 		s.got++
+		s.way.count(func(n *Counts) { n.StreamGot += int64(pieceHeadLen + length) })
 		s.rest = s.piece
 	}
 	n := copy(b, s.rest)
@@ -94,6 +95,7 @@
 			return n, err
 		}
 		s.sent++
+		s.way.count(func(n *Counts) { n.StreamSent += int64(len(out)) })
 		n += len(part)
 		b = b[len(part):]
 	}
--- a/internal/fleet/way/way.go
+++ b/internal/fleet/way/way.go
@@ -47,6 +47,29 @@
 	Refused   int64 `json:"streams_refused"`   // beyond those that may be open
 	Broken    int64 `json:"streams_with_harm"` // spoilt on their way
 	Panicked  int64 `json:"handlers_panicked"` // over what came
+
+	SentKinds  Kinds `json:"sent_kinds"`
+	GotKinds   Kinds `json:"got_kinds"`
+	StreamSent int64 `json:"stream_bytes_sent"` // heads of pieces among them
+	StreamGot  int64 `json:"stream_bytes_got"`
+}
+
+// Kinds are the bytes of datagrams of each kind, heads among them.
+type Kinds struct {
+	Membership int64 `json:"membership"`
+	Words      int64 `json:"words"`
+	Judgements int64 `json:"judgements"`
+}
+
+func (k *Kinds) add(kind Kind, bytes int) {
+	switch kind {
+	case Membership:
+		k.Membership += int64(bytes)
+	case Words:
+		k.Words += int64(bytes)
+	case Judgements:
+		k.Judgements += int64(bytes)
+	}
 }
 
 // Handler takes one frame. It must not wait. late is how much longer the frame took than the sender's quickest lately.
@@ -155,6 +178,7 @@
 	w.bucket -= size
 	w.counts.Sent++
 	w.counts.SentBytes += int64(len(w.buffer))
+	w.counts.SentKinds.add(kind, len(w.buffer))
 	return true
 }
 
@@ -191,6 +215,7 @@
 	w.mu.Lock()
 	w.counts.Got++
 	w.counts.GotBytes += int64(len(b))
+	w.counts.GotKinds.add(f.Kind, len(b))
 	var late time.Duration
 	known := false
 	switch {
--- /dev/null
+++ b/internal/lab/scale/hollow.go
@@ -0,0 +1,279 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/config"
+	"canvasrouter/internal/fleet"
+	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/node"
+	"canvasrouter/internal/standin/relay"
+	"canvasrouter/policy"
+)
+
+const (
+	perService = 8   // servers of a service, each with its node: 900 in 110 services
+	zones      = 5   // in two regions: three and two
+	callRate   = 322 // calls a second at a node
+)
+
+// Cluster is nodes that hear each other by a relay, real or hollow.
+type Cluster interface {
+	Size() int
+	Start(place int) error
+	Kill(place int) error
+	// Agree waits until the nodes at some places know of exactly these.
+	Agree(ctx context.Context, places []int, most time.Duration) (time.Duration, error)
+	Wires() *relay.Relay
+	// Usage is the processor time used so far in seconds and the resident memory in MB; 0 where nodes share a process.
+	Usage(place int) (seconds, mb float64)
+	Close() error
+}
+
+// hollow is one node without clients' and servers' sockets.
+type hollow struct {
+	mu    sync.Mutex
+	node  *node.Node
+	fleet *fleet.Fleet
+	stop  context.CancelFunc
+	ended chan error
+	list  []policy.ServerID
+}
+
+// HollowCluster is many nodes in this process: the real code of members, judgements and the module's actor, with its real
+// clocks and sizes, each at an address of its own.
+type HollowCluster struct {
+	relay  *relay.Relay
+	nodes  []*hollow
+	called int           // services that a node calls
+	keep   time.Duration // members that are gone; 0: as usual
+	seed   uint64
+}
+
+// NewHollow opens the relay for so many.
+func NewHollow(nodes, called int, keep time.Duration, seed uint64) (*HollowCluster, error) {
+	r, err := relay.New(nodes, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &HollowCluster{relay: r, called: called, keep: keep, seed: seed}
+	for range nodes {
+		c.nodes = append(c.nodes, &hollow{})
+	}
+	return c, nil
+}
+
+func (c *HollowCluster) Size() int                    { return len(c.nodes) }
+func (c *HollowCluster) Wires() *relay.Relay          { return c.relay }
+func (c *HollowCluster) Usage(int) (float64, float64) { return 0, 0 }
+
+// services is how many there are.
+func services(nodes int) int { return max(1, (nodes+perService-1)/perService) }
+
+// servers are those of the services that a node calls: the next ones after its own, round.
+func servers(place, nodes, called int) (all []policy.ServerID) {
+	of := services(nodes)
+	for k := 1; k <= min(called, of); k++ {
+		service := (place/perService + k) % of
+		for i := range perService {
+			if n := service*perService + i; n < nodes {
+				all = append(all, policy.ServerID(n+1))
+			}
+		}
+	}
+	return all
+}
+
+// configuration is a hollow node's, in the platform's form.
+func (c *HollowCluster) configuration(place int) (*config.Config, error) {
+	join := ""
+	for i := range min(3, len(c.nodes)) {
+		if i > 0 {
+			join += ","
+		}
+		join += fmt.Sprintf("%q", relay.Advertised(i, c.relay.Port()))
+	}
+	return config.Parse([]byte(fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:1","discovery":"127.0.0.1:1","seed":"%x",
+ "fleet":{"listen":%q,"advertise":%q,"join":[%s],"words":false},
+ "settings":{"tier":0,"tiers":["front"],"fleet_size":%d,"slot_no":%d,"az":%d,"failure_domains":["a","b","c","d","e"],"kinds":["m"],"tick":5,
+  "registry_mode":"ask","categories":[{"name":"call","benefit":1,"effect":"idempotent","target_latency":300,"ttl":1000}],
+  "limits":{"max_pushes":3,"may_duplicate":true,"may_cancel":true,"dial_timeout":100,"retry_after":true,"max_retry_after":1000},
+  "safety":{"answer_slack":20,"cold_from":0.3,"cold":4000,"overload_factor":3,"tip_after":1000,"must_ask_in":10000,"drain_grace":1500}}}`,
+		place, c.seed+uint64(place), relay.Bound(place, c.relay.Port()), relay.Advertised(place, c.relay.Port()), join,
+		len(c.nodes), place, place%zones)), func(string) string { return "" })
+}
+
+// none carries nothing and asks nobody: a hollow node has no servers and no registry.
+type none struct{}
+
+func (none) Follow(*node.List)         {}
+func (none) Push(*node.Push)           {}
+func (none) CloseIdle(policy.ServerID) {}
+func (none) Watch()                    {}
+
+// Start starts a hollow node.
+func (c *HollowCluster) Start(place int) error {
+	h := c.nodes[place]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	conf, err := c.configuration(place)
+	if err != nil {
+		return err
+	}
+	clock := node.NewClock()
+	n := node.New(node.Options{MostOpen: 1000}, conf.Rules.NewNode(conf.Seed), clock, zerolog.Nop())
+	list := &node.List{Form: policy.ListWhole}
+	h.list = servers(place, len(c.nodes), c.called)
+	for _, s := range h.list {
+		list.Entries = append(list.Entries, policy.Entry{Server: s, State: policy.Ready, Weight: 1, Zone: policy.ZoneID(uint64(s-1) % zones)})
+		list.Addrs = append(list.Addrs, "127.0.0.1:1")
+	}
+	n.Start(none{}, none{}, list)
+	var ctx context.Context
+	ctx, h.stop = context.WithCancel(context.Background())
+	h.ended = make(chan error, 1)
+	go func() { h.ended <- n.Run(ctx) }()
+	f, err := fleet.StartKeeping(conf, n, clock, zerolog.Nop(), c.keep)
+	if err != nil {
+		h.stop()
+		<-h.ended
+		return err
+	}
+	h.node, h.fleet = n, f
+	return nil
+}
+
+// Kill ends a hollow node without a word to anybody.
+func (c *HollowCluster) Kill(place int) error {
+	h := c.nodes[place]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.fleet == nil {
+		return nil
+	}
+	h.fleet.Kill()
+	h.stop()
+	err := <-h.ended
+	h.fleet, h.node = nil, nil
+	return err
+}
+
+// Close ends all.
+func (c *HollowCluster) Close() error {
+	var all sync.WaitGroup
+	room := make(chan struct{}, 32)
+	for i := range c.nodes {
+		all.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			c.Kill(i)
+		})
+	}
+	all.Wait()
+	c.relay.Close()
+	return nil
+}
+
+func (c *HollowCluster) fleetOf(place int) *fleet.Fleet {
+	h := c.nodes[place]
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.fleet
+}
+
+// Agree is Cluster's.
+func (c *HollowCluster) Agree(ctx context.Context, places []int, most time.Duration) (time.Duration, error) {
+	begun := time.Now()
+	want := make(map[way.LifeID]bool, len(places))
+	for _, place := range places {
+		if f := c.fleetOf(place); f != nil {
+			want[f.Life()] = true
+		}
+	}
+	for {
+		last, wrong := 0, 0
+		for _, place := range places {
+			if f := c.fleetOf(place); f == nil || !knows(f, want) {
+				last = place
+				wrong++
+			}
+		}
+		took := time.Since(begun)
+		if wrong == 0 {
+			return took, nil
+		}
+		if took > most {
+			return took, fmt.Errorf("no agreement after %v: %d of %d nodes, node %d among them", most, wrong, len(places), last)
+		}
+		select {
+		case <-ctx.Done():
+			return took, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func knows(f *fleet.Fleet, want map[way.LifeID]bool) bool {
+	others := f.Others()
+	if len(others) != len(want)-1 {
+		return false
+	}
+	for i := range others {
+		if !want[others[i].Life] {
+			return false
+		}
+	}
+	return true
+}
+
+// Calls draws the ends of pushes at callRate a second a node, until ctx is done. Pushes to a silent server time out after a
+// second.
+func (c *HollowCluster) Calls(ctx context.Context, silent func(policy.ServerID) bool) {
+	const beat, wait = 50 * time.Millisecond, time.Second
+	var all sync.WaitGroup
+	for i, h := range c.nodes {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(c.seed, uint64(i)))
+			time.Sleep(time.Duration(rng.Int64N(int64(beat))))
+			ticker := time.NewTicker(beat)
+			defer ticker.Stop()
+			type push struct {
+				server policy.ServerID
+				due    time.Time
+			}
+			var out []push
+			for due := 0.0; ; {
+				select {
+				case <-ctx.Done():
+					return
+				case <-ticker.C:
+				}
+				f := c.fleetOf(i)
+				if f == nil || len(h.list) == 0 {
+					continue
+				}
+				now := time.Now()
+				for len(out) > 0 && now.After(out[0].due) {
+					f.Ended(out[0].server, 0, policy.TimedOut, policy.Micros(wait.Microseconds()))
+					out = out[1:]
+				}
+				for due += callRate * beat.Seconds(); due >= 1; due-- {
+					s := h.list[rng.IntN(len(h.list))]
+					f.Sent(s, 0)
+					if silent(s) {
+						out = append(out, push{s, now.Add(wait)})
+						continue
+					}
+					f.Ended(s, 0, policy.Acked, policy.Micros(3000+rng.IntN(4000)))
+				}
+			}
+		})
+	}
+	all.Wait()
+}
--- a/internal/standin/registry/service.go
+++ b/internal/standin/registry/service.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"canvasrouter/policy"
@@ -33,8 +34,13 @@
 	down    bool
 	delay   time.Duration // of each change and call
 	servers []*http.Server
+	calls   atomic.Int64
+	bytes   atomic.Int64
 }
 
+// Counts are the calls that have come so far, and the bytes of lists and empty lines written.
+func (s *Service) Counts() (calls, bytes int64) { return s.calls.Load(), s.bytes.Load() }
+
 // NewService makes a service that tells a catalog, each change later by delay.
 func NewService(catalog *Catalog, delay time.Duration, words Words) *Service {
 	return &Service{words: words, catalog: catalog, delay: delay, changed: make(chan struct{}), broken: make(chan struct{})}
@@ -130,6 +136,7 @@
 }
 
 func (s *Service) serve(node int, w http.ResponseWriter, r *http.Request) {
+	s.calls.Add(1)
 	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
 	s.mu.Lock()
 	down, broken, delay := s.down, s.broken, s.delay
@@ -157,7 +164,9 @@
 		delay = s.delay
 		s.mu.Unlock()
 		if news {
-			if _, err := w.Write(append(s.words.Line(from, entries, whole), '\n')); err != nil || control.Flush() != nil {
+			n, err := w.Write(append(s.words.Line(from, entries, whole), '\n'))
+			s.bytes.Add(int64(n))
+			if err != nil || control.Flush() != nil {
 				return
 			}
 			s.words.Told(node, entries, whole)
@@ -171,6 +180,7 @@
 			case <-changed:
 				waiting = false
 			case <-idle.C:
+				s.bytes.Add(1)
 				if _, err := w.Write([]byte("\n")); err != nil || control.Flush() != nil {
 					return
 				}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -59,14 +59,17 @@
 // Count is what a node has sent and been sent, as it came to the relay and left it.
 type Count struct {
 	SentDatagrams, SentBytes, SentStreams, StreamBytes int64
-	GotDatagrams, GotBytes                             int64
+	GotDatagrams, GotBytes, GotStreamBytes             int64
 }
 
+// Bytes is all that a node has sent and been sent.
+func (c Count) Bytes() int64 { return c.SentBytes + c.StreamBytes + c.GotBytes + c.GotStreamBytes }
+
 type place struct {
 	udp                                                *net.UDPConn
 	tcp                                                net.Listener
 	sentDatagrams, sentBytes, sentStreams, streamBytes atomic.Int64
-	gotDatagrams, gotBytes                             atomic.Int64
+	gotDatagrams, gotBytes, gotStreamBytes             atomic.Int64
 }
 
 // Relay is one run's.
@@ -155,7 +158,7 @@
 func (r *Relay) Count(n int) Count {
 	p := r.places[n]
 	return Count{p.sentDatagrams.Load(), p.sentBytes.Load(), p.sentStreams.Load(), p.streamBytes.Load(),
-		p.gotDatagrams.Load(), p.gotBytes.Load()}
+		p.gotDatagrams.Load(), p.gotBytes.Load(), p.gotStreamBytes.Load()}
 }
 
 // Begin lets a fault act beside those that act already; the number ends it. A fault gives the way of each pair.
@@ -428,6 +431,7 @@
 				n = at
 			}
 			out.SetWriteDeadline(time.Now().Add(mostHeld))
+			r.places[to].gotStreamBytes.Add(int64(n))
 			if _, wrong := out.Write(buffer[:n]); wrong != nil || short {
 				break
 			}
