Configuration for the whole fleet: replicas, followers, the changes laid over a node's file

canvasrouter replica holds the registers, change asks for one and waits until it is in force everywhere, changes shows what stands and who lags. A node with the key store watches one replica (a line of JSON a change, an empty one each 2 s, as the list's), lays all/service/node patches over its file (RFC 7396) and goes by the result whole, through the same switch as SIGHUP, 0.3 to 2.3 s later at random, since other settings make a module that has learned nothing. What is faulty is refused by the replica, or by the node, with its key; what runs stays. Off by default, in no platform build; check and explain know the key; canvasrouter fleet shows it.

TestStore, processes of the program: in force at the service's nodes and no others; the same twice; from a version that does not stand; five faulty ones; a later form; the way back; a stopped node (2.1 s after it goes on), one with its old file (1.9 s after its start); one replica killed; one more stopped: no majority, all nodes go on; the same change again under its id once they are back.

--- a/cmd/canvasrouter/commands.go
+++ b/cmd/canvasrouter/commands.go
@@ -18,6 +18,9 @@
 	Check   checkCommand   `cmd:"" help:"Read a configuration and say what is wrong with it."`
 	Explain explainCommand `cmd:"" help:"Say in words what a configuration means."`
 	Fleet   fleetCommand   `cmd:"" help:"Print what a running node knows of the others, by its own socket (fleet.control)."`
+	Replica replicaCommand `cmd:"" help:"Hold changes of configuration for the fleet, as one of the machines set aside for control."`
+	Change  changeCommand  `cmd:"" help:"Change configuration at all nodes, a service's or one, and look whether it is in force."`
+	Changes changesCommand `cmd:"" help:"Show which changes of configuration stand, and which nodes run them."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- a/cmd/canvasrouter/fleet.go
+++ b/cmd/canvasrouter/fleet.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 
 	"canvasrouter/internal/config"
 	"canvasrouter/internal/fleet"
@@ -60,6 +62,16 @@
 		fmt.Fprintf(w, "words: told %d, sent %d, heard %d; pushed out of a full queue %d, to nobody %d, dropped for pace %d, too late %d, not understood %d, node busy %d\n",
 			s.Told, s.Sent, s.Heard, s.Pushed, s.Nobody, s.Paced, s.Stale, s.Foreign, s.Busy)
 	}
+	if s := v.Store; s != nil {
+		at := s.Replica
+		if at == "" {
+			at = "no replica"
+		}
+		fmt.Fprintf(w, "store: watches %s; runs %v of what it was told, %v\n", at, s.Runs, s.Told)
+		for _, key := range slices.Sorted(maps.Keys(s.Refused)) {
+			fmt.Fprintf(w, "    %s version %d refused: %s\n", key, s.Refused[key].Version, s.Refused[key].Why)
+		}
+	}
 	for _, s := range v.Servers {
 		own := s.Own
 		if own == "" {
--- a/cmd/canvasrouter/main_test.go
+++ b/cmd/canvasrouter/main_test.go
@@ -40,6 +40,12 @@
 
 // start runs the example's configuration, changed, as a process of its own.
 func start(t *testing.T, prepare func(*process), changes ...string) *process {
+	t.Helper()
+	return startFor(t, 20*time.Second, prepare, changes...)
+}
+
+// startFor lets the process live for so long at the most.
+func startFor(t *testing.T, most time.Duration, prepare func(*process), changes ...string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0]), config: filepath.Join(t.TempDir(), "config.json")}
 	p.configure(t, changes...)
@@ -49,7 +55,7 @@
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
-	stop := time.AfterFunc(20*time.Second, func() { p.Process.Kill() })
+	stop := time.AfterFunc(most, func() { p.Process.Kill() })
 	t.Cleanup(func() { stop.Stop(); p.Process.Kill() })
 	return p
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,8 @@
 	Unheeded    []string      // settings that earlier versions heeded, given here
 	IdleClose   time.Duration // a server closes a connection that was idle for this long
 	Fleet       *Fleet        // nil: the node hears nobody
+	Store       *Store        // nil: the file alone says what holds
+	Raw         []byte        // the document that this was read from
 
 	settings, fleet json.RawMessage
 }
@@ -60,6 +62,7 @@
 		{"listen", c.Listen == next.Listen},
 		{"seed", c.Seed == next.Seed},
 		{"limits", c.Cores == next.Cores && c.MemoryMB == next.MemoryMB && c.Sockets == next.Sockets},
+		{"store", reflect.DeepEqual(c.Store, next.Store)},
 	} {
 		if !k.same {
 			keys = append(keys, k.key)
@@ -73,6 +76,7 @@
 	now := *c
 	now.Name, now.Listen, now.Seed = old.Name, old.Listen, old.Seed
 	now.Cores, now.MemoryMB, now.Sockets = old.Cores, old.MemoryMB, old.Sockets
+	now.Store = old.Store
 	return &now
 }
 
@@ -112,6 +116,7 @@
 	Known    json.RawMessage `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 	Fleet    json.RawMessage `json:"fleet"`
+	Store    json.RawMessage `json:"store"`
 }
 
 // Load reads the file that NODE_CONFIG names. NODE_NAME, NODE_LISTEN, NODE_DISCOVERY and NODE_LOG_LEVEL stand in for
@@ -153,6 +158,7 @@
 		Known:     d.Known,
 		settings:  d.Settings,
 		fleet:     d.Fleet,
+		Raw:       raw,
 		Cores:     orDefault(d.Limits.Cores, defaultCores),
 		MemoryMB:  orDefault(d.Limits.MemoryMB, defaultMemoryMB),
 		Sockets:   orDefault(d.Limits.Sockets, defaultSockets),
@@ -202,7 +208,9 @@
 	if s.err != nil {
 		return c, s.err
 	}
-	c.Fleet, err = parseFleet(d.Fleet)
+	if c.Fleet, err = parseFleet(d.Fleet); err == nil {
+		c.Store, err = parseStore(d.Store)
+	}
 	return c, err
 }
 
--- a/internal/config/explain.go
+++ b/internal/config/explain.go
@@ -38,6 +38,7 @@
 		100*r.Cold.From, Duration(r.Cold.Warm))
 	line("more than %g times what it can do for %s.", r.Cold.Factor, Duration(r.Cold.Window))
 	c.explainFleet(line)
+	c.explainStore(line)
 	line("Changes of the list come %s.", either(r.Registry.Ask, "only on asking, and the node asks", "unasked"))
 	return b.String()
 }
--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -15,6 +15,7 @@
 
 	"canvasrouter/internal/fleet/way"
 	"canvasrouter/internal/fleet/words"
+	"canvasrouter/internal/store"
 	"canvasrouter/policy"
 )
 
@@ -28,6 +29,7 @@
 	Servers []ServerView  `json:"servers"` // of which anything is held
 	Listed  int           `json:"listed"`  // servers that are ready, by the list
 	Foreign int64         `json:"judgements_not_understood"`
+	Store   *store.Look   `json:"store,omitempty"` // of configuration
 }
 
 // MemberView is a member as a node sees it.
@@ -72,6 +74,9 @@
 		v.Members = append(v.Members, MemberView{m.Name, fmt.Sprintf("%016x", uint64(m.Life)), m.Number, int(m.Zone), m.Addr.String(),
 			m.State.String(), ms(now - m.Since)})
 	}
+	if look := f.store.Load(); look != nil {
+		v.Store = (*look)()
+	}
 	if f.words != nil {
 		counts := f.words.Counts()
 		v.Words = &counts
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -19,6 +20,7 @@
 	"canvasrouter/internal/fleet/way"
 	"canvasrouter/internal/fleet/words"
 	"canvasrouter/internal/node"
+	"canvasrouter/internal/store"
 	"canvasrouter/policy"
 )
 
@@ -57,6 +59,8 @@
 	anew    []policy.ServerID // that have started anew since the last beat
 	ids     []policy.ServerID
 
+	store atomic.Pointer[func() *store.Look] // what is known of the store of configuration; nil: nothing
+
 	books   sync.Mutex // guards book, weights, foreign
 	book    *judged.Book
 	weights []judged.Weight
@@ -141,6 +145,9 @@
 	f.over.Wait()
 }
 
+// Show says where a look at the store of configuration comes from.
+func (f *Fleet) Show(look func() *store.Look) { f.store.Store(&look) }
+
 // Others gives all others that are there. The slice is shared: it is read alone.
 func (f *Fleet) Others() []members.Member { return f.members.There() }
 
--- a/internal/serve/others.go
+++ b/internal/serve/others.go
@@ -27,6 +27,9 @@
 		return nil
 	}
 	r.others.fleet, err = fleet.Start(c, r.actor, r.clock, r.log.With().Str("part", "fleet").Logger())
+	if err == nil {
+		r.others.fleet.Show(r.store.look)
+	}
 	return err
 }
 
--- a/internal/serve/others_platform.go
+++ b/internal/serve/others_platform.go
@@ -18,3 +18,19 @@
 
 func (o *others) leave()     {}
 func (o *others) close(bool) {}
+
+// changes of configuration come by the file alone.
+type changes struct{}
+
+func (r *running) followStore(c *config.Config) (stop func()) {
+	if c.Store != nil {
+		r.log.Warn().Str("key", "store").Msg("the platform's build follows no store; the key is not heeded")
+	}
+	return func() {}
+}
+
+func (*changes) over(file *config.Config) (*config.Config, error) {
+	return file, nil
+}
+
+func (*changes) reread(*config.Config) {}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -117,6 +118,7 @@
 		return fmt.Errorf("config: %w", err)
 	}
 	defer r.others.close(true)
+	defer r.followStore(c)()
 	go func() { // until the process ends, also while it drains
 		for {
 			<-reload
@@ -155,6 +157,9 @@
 	front             *clients.Server
 	clock             *node.Clock
 	others            others
+
+	mu    sync.Mutex // guards config, and that one change at a time is taken over
+	store changes
 }
 
 // generation is the module, unless something else stands in its place, as these settings make it.
@@ -195,18 +200,30 @@
 // reconfigure reads the configuration anew, as at the start, and takes over what can change while the node runs: the
 // settings, where the registry is, and the log level. Ops in hand and connections to clients live through it.
 func (r *running) reconfigure() {
-	c := r.config
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	file, err := config.Load(r.Getenv)
-	var next *config.Config
 	if err == nil {
-		next = file.Running(c)
-		err = r.takeOver(c, next)
+		file, err = r.store.over(file)
+	}
+	if err == nil {
+		err = r.install(file)
 	}
 	if err != nil {
 		// Danger: the file may be half written; what runs is better than nothing.
 		r.log.Error().Err(err).Msg("configuration not taken over, the running one stays")
 		return
 	}
+	r.store.reread(file)
+}
+
+// install lets the node go by what was read, whole, or leaves it as it is. The lock is held.
+func (r *running) install(file *config.Config) error {
+	c := r.config
+	next := file.Running(c)
+	if err := r.takeOver(c, next); err != nil {
+		return err
+	}
 	if keys := c.Fixed(file); len(keys) > 0 {
 		r.log.Warn().Strs("keys", keys).Msg("configuration: these keys change with a restart only")
 	}
@@ -216,6 +233,7 @@
 	}
 	r.log.Info().Str("discovery", next.Discovery).Msg("configuration taken over")
 	r.config = next
+	return nil
 }
 
 // takeOver lets the node go by what differs in next.
--- a/internal/store/round_test.go
+++ b/internal/store/round_test.go
@@ -7,8 +7,8 @@
 	"testing"
 )
 
-// message is one on its way between replicas in the simulation.
-type message struct {
+// packet is one on its way between replicas in the simulation.
+type packet struct {
 	from, to int
 	deliver  func()
 }
@@ -18,7 +18,7 @@
 type world struct {
 	rng       *rand.Rand
 	disks     []Register
-	way       []message
+	way       []packet
 	cut       func(a, b int) bool
 	down      []bool
 	lives     []int
@@ -37,9 +37,9 @@
 	return w
 }
 
-func (w *world) send(from, to int, deliver func()) { w.way = append(w.way, message{from, to, deliver}) }
+func (w *world) send(from, to int, deliver func()) { w.way = append(w.way, packet{from, to, deliver}) }
 
-// step delivers one message, drawn at random; some are lost, some come again later.
+// step delivers one packet, drawn at random; some are lost, some come again later.
 func (w *world) step() bool {
 	if len(w.way) == 0 {
 		return false
