--- a/cmd/canvaslab/scale.go
+++ b/cmd/canvaslab/scale.go
@@ -15,7 +15,7 @@
 )
 
 type scaleCommand struct {
-	Role   string        `arg:"" help:"What is measured: members, judgements, list, start or path." enum:"members,judgements,list,start,path"`
+	Role   string        `arg:"" help:"What is measured: members, judgements, changes, list, start or path." enum:"members,judgements,changes,list,start,path"`
 	Nodes  []int         `help:"Sizes, one after another." default:"25,50,100"`
 	Plays  int           `help:"Plays of each size." default:"3"`
 	First  int           `help:"Number of the first play: records keep one of each size and number." default:"1"`
@@ -89,6 +89,8 @@
 	switch s.Role {
 	case "list":
 		return scale.List(ctx, nodes, s.Called, s.Calm, seed, tell)
+	case "changes":
+		return scale.Changes(ctx, s.Node, nodes, s.Calm, seed, tell)
 	case "start":
 		return scale.Starts(ctx, s.Node, nodes, seed, tell)
 	case "path":
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -80,8 +80,19 @@
 			{column: "in force", what: "nine in ten nodes know", record: "judgements", kind: Hollow, name: "seen_s", unit: "s"},
 		}},
 	{role: "Messages between modules", state: "64 words a number, 192 bytes", mechanism: "`fleet/words`, off by default", missing: "not measured at this size: words go to the nodes of a service's fleet_size alone"},
-	{role: "Configuration", state: "one file a node", mechanism: "**none**: a file and SIGHUP at each node", none: true,
-		missing: "nothing carries a change to 900 nodes, says who runs which, takes a bad one back, or holds for a node that was away"},
+	{role: "Configuration", state: "at a node: three patches of at most 64 KiB; at each of the 3 replicas: V + N keys at the most, 4,096 reports of some 300 bytes",
+		command:   "canvaslab scale changes --nodes 25,50,100,200,400,900 (hollow); --nodes 25,50,100 --node bin/canvasrouter (real)",
+		mechanism: "`store`: a register a key on three replicas, each node watches one of them; **none before**: a file and SIGHUP at each node",
+		cells: []cell{
+			{column: "bytes", what: "calm", record: "changes", kind: Hollow, name: "calm_bytes", unit: "bytes/s", budget: mostBytes, control: "bytes"},
+			{column: "bytes", what: "a release, 100 changes a minute", record: "changes", kind: Hollow, name: "burst_bytes", unit: "bytes/s", budget: mostBytes, control: "fault"},
+			{column: "bytes", what: "a change for all", record: "changes", kind: Hollow, name: "change_bytes", unit: "bytes"},
+			{column: "processor", what: "whole process, idle, calm", record: "changes", kind: Real, name: "calm_core_percent", unit: "% of a core", budget: mostCore},
+			{column: "in force", what: "a change for all, at the last node", record: "changes", kind: Hollow, name: "all_s", unit: "s", budget: mostForce},
+			{column: "in force", what: "the slowest of a release", record: "changes", kind: Hollow, name: "burst_most_s", unit: "s", budget: mostForce},
+			{column: "in force", what: "one replica lost just before", record: "changes", kind: Hollow, name: "replica_lost_s", unit: "s", budget: mostForce},
+			{column: "in force", what: "region without a replica, once it is back", record: "changes", kind: Hollow, name: "healed_s", unit: "s", budget: mostForce},
+		}},
 	{role: "Limits over the fleet", state: "", mechanism: "**none**", none: true, missing: "budgets and counts over all nodes are not built"},
 	{role: "Start", state: "a list of known servers", command: "canvaslab scale start --nodes 25,50,100,200 --node bin/canvasrouter",
 		mechanism: "`serve`: ready once it listens, whatever the registry does",
@@ -275,7 +286,7 @@
 			continue
 		}
 		for _, n := range real.Sizes(func(int) bool { return true }) {
-			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s"} {
+			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s", "burst_bytes", "all_s"} {
 				a, _, _, plays := real.At(name, n)
 				z, _, _, others := hollow.At(name, n)
 				if plays > 0 && others > 0 && a > 0 {
