Tests: a promise alone outlives the process; null takes out what a file may leave out

TestStartsAnew saw no fault where a promise was not kept on disk, since what is chosen is kept with it; a promise of its own is forced now.

--- a/internal/store/apply/apply_test.go
+++ b/internal/store/apply/apply_test.go
@@ -32,7 +32,7 @@
 	c, err := Lay([]byte(plain), values(map[store.Key]string{
 		"node/n":    `{"settings":{"limits":{"max_pushes":7}}}`,
 		"all":       `{"settings":{"limits":{"max_pushes":2,"dial_timeout":55}},"log_level":"warn"}`,
-		"service/s": `{"settings":{"limits":{"max_pushes":5,"max_retry_after":null,"idle_close":4000}}}`}), none, nil)
+		"service/s": `{"settings":{"limits":{"max_pushes":5,"max_open":null,"idle_close":4000}}}`}), none, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -250,6 +250,10 @@
 		}
 	}
 	r.await("all", 2, "two")
+	// A promise alone, to a ballot of which nothing more is heard, has to outlive the process too.
+	if _, err := r.replicas[1].change("all", func(of *Register) Promise { return of.Prepare(Ballot{Round: 99, Replica: 2}) }); err != nil {
+		t.Fatal(err)
+	}
 	before := *r.replicas[1].registers["all"]
 	r.stop(1)
 	r.again(1)
