--- a/internal/fleet/control.go
+++ b/internal/fleet/control.go
@@ -13,7 +13,7 @@
 	"syscall"
 	"time"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/fleet/words"
 	"canvasrouter/internal/store"
 	"canvasrouter/policy"
@@ -21,15 +21,15 @@
 
 // View is what one node knows, as canvasrouter fleet prints it.
 type View struct {
-	Fleet   string        `json:"fleet"`
-	Own     MemberView    `json:"own"`
-	Members []MemberView  `json:"members"` // the others, by name; those gone are kept for a while
-	Ways    way.Counts    `json:"ways"`
-	Words   *words.Counts `json:"words,omitempty"`
-	Servers []ServerView  `json:"servers"` // of which anything is held
-	Listed  int           `json:"listed"`  // servers that are ready, by the list
-	Foreign int64         `json:"judgements_not_understood"`
-	Store   *store.Look   `json:"store,omitempty"` // of configuration
+	Fleet   string           `json:"fleet"`
+	Own     MemberView       `json:"own"`
+	Members []MemberView     `json:"members"` // the others, by name; those gone are kept for a while
+	Ways    transport.Counts `json:"ways"`
+	Words   *words.Counts    `json:"words,omitempty"`
+	Servers []ServerView     `json:"servers"` // of which anything is held
+	Listed  int              `json:"listed"`  // servers that are ready, by the list
+	Foreign int64            `json:"judgements_not_understood"`
+	Store   *store.Look      `json:"store,omitempty"` // of configuration
 }
 
 // MemberView is a member as a node sees it.
@@ -68,7 +68,7 @@
 func (f *Fleet) View() *View {
 	own, all := f.members.View()
 	now := f.clock.Now()
-	v := &View{Fleet: f.config.Name, Ways: f.way.Counts(), Members: []MemberView{}, Servers: []ServerView{}}
+	v := &View{Fleet: f.config.Name, Ways: f.transport.Counts(), Members: []MemberView{}, Servers: []ServerView{}}
 	v.Own = MemberView{own.Name, fmt.Sprintf("%016x", uint64(own.Life)), own.Number, int(own.Zone), own.Addr.String(), "alive", 0}
 	for _, m := range all {
 		v.Members = append(v.Members, MemberView{m.Name, fmt.Sprintf("%016x", uint64(m.Life)), m.Number, int(m.Zone), m.Addr.String(),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,7 +17,7 @@
 	"canvasrouter/internal/config"
 	"canvasrouter/internal/fleet/judged"
 	"canvasrouter/internal/fleet/members"
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/fleet/words"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/store"
@@ -38,17 +38,17 @@
 
 // Fleet is one node's side. It is made by Start and ends with Close.
 type Fleet struct {
-	config  *config.Fleet
-	clock   *node.Clock
-	log     zerolog.Logger
-	node    *node.Node
-	way     *way.Way
-	members *members.Members
-	words   *words.Words // nil: modules tell nothing
-	control *control     // nil: no socket
-	number  uint16
-	done    chan struct{}
-	over    sync.WaitGroup
+	config    *config.Fleet
+	clock     *node.Clock
+	log       zerolog.Logger
+	node      *node.Node
+	transport *transport.Transport
+	members   *members.Members
+	words     *words.Words // nil: modules tell nothing
+	control   *control     // nil: no socket
+	number    uint16
+	done      chan struct{}
+	over      sync.WaitGroup
 
 	// Danger: the node's actor waits for own's lock with ops in hand, and weighing many reports takes milliseconds. So the book
 	// has a lock of its own, which the actor never takes; whoever takes both takes the book's first.
@@ -67,7 +67,7 @@
 	foreign int64 // frames of judgements of another form
 }
 
-// Start opens the node's way and begins to hear. The node is told what others judge, and tells what it sees, from Join on.
+// Start opens the node's transport and begins to hear. The node is told what others judge, and tells what it sees, from Join on.
 func Start(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger) (*Fleet, error) {
 	return StartKeeping(c, n, clock, log, 0)
 }
@@ -76,35 +76,35 @@
 func StartKeeping(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger, keep time.Duration) (*Fleet, error) {
 	f := &Fleet{config: c.Fleet, clock: clock, log: log, node: n, number: uint16(c.Rules.Place.Number), done: make(chan struct{}),
 		started: make(map[policy.ServerID]policy.Micros)}
-	life := way.LifeID(rand.Uint64()) // Danger: not from the seed, which a process that is back has again
+	life := transport.LifeID(rand.Uint64()) // Danger: not from the seed, which a process that is back has again
 	zone := uint8(c.Rules.Place.Zone)
 	f.book, f.own = judged.NewBook(judged.SourceID(life), zone), judged.NewLog()
 	var err error
-	f.way, err = way.Open(way.Options{Fleet: c.Fleet.Name, Listen: c.Fleet.Listen, Advertise: c.Fleet.Advertise, Life: life, Pace: c.Fleet.Pace},
-		log.With().Str("part", "way").Logger())
+	f.transport, err = transport.Open(transport.Options{Fleet: c.Fleet.Name, Listen: c.Fleet.Listen, Advertise: c.Fleet.Advertise, Life: life, Pace: c.Fleet.Pace},
+		log.With().Str("part", "transport").Logger())
 	if err != nil {
 		return nil, fmt.Errorf("key fleet.listen: %w", err)
 	}
 	if c.Fleet.Control != "" {
 		if f.control, err = listen(c.Fleet.Control, f); err != nil {
-			f.way.Close()
+			f.transport.Close()
 			return nil, fmt.Errorf("key fleet.control: %w", err)
 		}
 	}
 	if c.Fleet.Judged {
-		f.way.Handle(way.Judgements, f.hear)
+		f.transport.Handle(transport.Judgements, f.hear)
 	}
 	if c.Fleet.Words && c.Rules.Place.Peers {
-		f.words = words.Start(f.way, f.holder, n.Said)
+		f.words = words.Start(f.transport, f.holder, n.Said)
 	}
 	own := members.Member{Name: c.Name, Life: life, Zone: zone, Number: c.Rules.Place.Number, Addr: c.Fleet.Advertise}
-	f.members, err = members.Start(members.Options{Own: own, Nodes: c.Rules.Place.Nodes, Join: c.Fleet.Join, Seed: c.Seed, Keep: keep}, f.way, clock,
+	f.members, err = members.Start(members.Options{Own: own, Nodes: c.Rules.Place.Nodes, Join: c.Fleet.Join, Seed: c.Seed, Keep: keep}, f.transport, clock,
 		log.With().Str("part", "members").Logger())
 	if err != nil {
 		f.end()
 		return nil, err
 	}
-	f.way.Run()
+	f.transport.Run()
 	if c.Fleet.Judged {
 		f.over.Go(f.judge)
 	}
@@ -141,7 +141,7 @@
 	if f.members != nil {
 		f.members.Close()
 	}
-	f.way.Close()
+	f.transport.Close()
 	f.over.Wait()
 }
 
@@ -152,10 +152,10 @@
 func (f *Fleet) Others() []members.Member { return f.members.There() }
 
 // Life is this process's among the members.
-func (f *Fleet) Life() way.LifeID { return f.way.Life() }
+func (f *Fleet) Life() transport.LifeID { return f.transport.Life() }
 
 // Counts gives what has become of frames so far.
-func (f *Fleet) Counts() way.Counts { return f.way.Counts() }
+func (f *Fleet) Counts() transport.Counts { return f.transport.Counts() }
 
 // Lowered is how many servers others' findings have taken more than half of the weight of.
 func (f *Fleet) Lowered() (n int) {
@@ -214,7 +214,7 @@
 }
 
 // hear takes in what another node says of servers.
-func (f *Fleet) hear(_ netip.AddrPort, frame *way.Frame, late time.Duration) {
+func (f *Fleet) hear(_ netip.AddrPort, frame *transport.Frame, late time.Duration) {
 	reports, understood := judged.Read(frame.Payload, make([]judged.Report, 0, judged.Fit(len(frame.Payload))))
 	f.books.Lock()
 	defer f.books.Unlock()
@@ -232,9 +232,9 @@
 func (f *Fleet) judge() {
 	ticker := time.NewTicker(judgeEvery)
 	defer ticker.Stop()
-	payload := make([]byte, 0, way.MostPayload)
-	told := make(map[way.LifeID]bool) // those who were told all when they came
-	var known *members.Member         // of the others, as they were told last
+	payload := make([]byte, 0, transport.MostPayload)
+	told := make(map[transport.LifeID]bool) // those who were told all when they came
+	var known *members.Member               // of the others, as they were told last
 	for {
 		select {
 		case <-f.done:
@@ -257,7 +257,7 @@
 		}
 		payload = judged.Append(payload[:0], reports)
 		for range min(tellTo, len(others)) { // one may be drawn twice; then it is told twice
-			f.way.Send(others[rand.IntN(len(others))].Addr, way.Judgements, payload)
+			f.transport.Send(others[rand.IntN(len(others))].Addr, transport.Judgements, payload)
 		}
 	}
 }
@@ -265,8 +265,8 @@
 // welcome tells those who have come what is held, the youngest first and as much as one datagram takes, a few in a beat, and forgets
 // those who have gone. It says whether
 // all have been told.
-func (f *Fleet) welcome(others []members.Member, told map[way.LifeID]bool, payload []byte) bool {
-	here := make(map[way.LifeID]bool, len(others))
+func (f *Fleet) welcome(others []members.Member, told map[transport.LifeID]bool, payload []byte) bool {
+	here := make(map[transport.LifeID]bool, len(others))
 	left := newcomers
 	for _, m := range others {
 		here[m.Life] = true
@@ -276,13 +276,13 @@
 		left--
 		told[m.Life] = true
 		f.books.Lock()
-		all := f.book.Reports(f.clock.Now(), 0, judged.Fit(way.MostPayload))
+		all := f.book.Reports(f.clock.Now(), 0, judged.Fit(transport.MostPayload))
 		f.books.Unlock()
 		if len(all) > 0 {
-			f.way.Send(m.Addr, way.Judgements, judged.Append(payload[:0], all))
+			f.transport.Send(m.Addr, transport.Judgements, judged.Append(payload[:0], all))
 		}
 	}
-	maps.DeleteFunc(told, func(life way.LifeID, _ bool) bool { return !here[life] })
+	maps.DeleteFunc(told, func(life transport.LifeID, _ bool) bool { return !here[life] })
 	return left > 0
 }
 
@@ -305,7 +305,7 @@
 	weights := judged.Weights(now, ids, f.book, f.finding)
 	parts, changed = f.compare(weights)
 	f.weights = weights
-	reports = f.book.Reports(now, passOn, judged.Fit(way.MostPayload))
+	reports = f.book.Reports(now, passOn, judged.Fit(transport.MostPayload))
 	return reports, parts, changed
 }
 
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -14,7 +14,7 @@
 	"github.com/hashicorp/memberlist"
 	"github.com/rs/zerolog"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 	"canvasrouter/policy"
 )
@@ -42,16 +42,16 @@
 
 // Members is the actor. Its methods may be called from any goroutine and don't wait, but for Leave and Close.
 type Members struct {
-	options Options
-	way     *way.Way
-	clock   *node.Clock
-	log     zerolog.Logger
-	list    *memberlist.Memberlist
-	packets chan *memberlist.Packet
-	done    chan struct{}
-	over    sync.WaitGroup
-	left    sync.Once
-	leaves  atomic.Bool
+	options   Options
+	transport *transport.Transport
+	clock     *node.Clock
+	log       zerolog.Logger
+	list      *memberlist.Memberlist
+	packets   chan *memberlist.Packet
+	done      chan struct{}
+	over      sync.WaitGroup
+	left      sync.Once
+	leaves    atomic.Bool
 
 	mu    sync.Mutex
 	table *Table
@@ -59,22 +59,22 @@
 }
 
 // Start joins. Nobody needs to be there yet.
-func Start(o Options, w *way.Way, clock *node.Clock, log zerolog.Logger) (*Members, error) {
-	m := &Members{options: o, way: w, clock: clock, log: log, packets: make(chan *memberlist.Packet, packets),
+func Start(o Options, w *transport.Transport, clock *node.Clock, log zerolog.Logger) (*Members, error) {
+	m := &Members{options: o, transport: w, clock: clock, log: log, packets: make(chan *memberlist.Packet, packets),
 		done: make(chan struct{}), table: NewTable(o.Own, o.Nodes)}
 	if o.Keep > 0 {
 		m.table.keep = policy.Micros(o.Keep.Microseconds())
 	}
 	m.there.Store(new([]Member))
-	w.Handle(way.Membership, m.packet)
+	w.Handle(transport.Membership, m.packet)
 	config := memberlist.DefaultLANConfig()
 	config.Name = id(o.Own.Name, o.Own.Life)
 	config.BindAddr, config.BindPort = o.Own.Addr.Addr().String(), int(o.Own.Addr.Port())
 	config.AdvertiseAddr, config.AdvertisePort = config.BindAddr, config.BindPort
-	config.Transport = &transport{m}
+	config.Transport = &adapter{m}
 	config.Delegate, config.Events = delegate{m}, events{m}
 	config.Logger = stdlog.New(quiet{log}, "", 0)
-	config.UDPBufferSize = way.MostPayload
+	config.UDPBufferSize = transport.MostPayload
 	config.EnableCompression = false // what is told is short
 	config.ProbeInterval, config.ProbeTimeout = 500*time.Millisecond, 200*time.Millisecond
 	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
@@ -197,45 +197,45 @@
 }
 
 // packet hands a datagram to the library.
-func (m *Members) packet(from netip.AddrPort, f *way.Frame, _ time.Duration) {
+func (m *Members) packet(from netip.AddrPort, f *transport.Frame, _ time.Duration) {
 	select {
 	case m.packets <- &memberlist.Packet{Buf: append([]byte(nil), f.Payload...), From: net.UDPAddrFromAddrPort(from), Timestamp: time.Now()}:
 	default:
-		m.way.Overrun()
+		m.transport.Overrun()
 	}
 }
 
-// transport is the library's way: ours.
-type transport struct{ *Members }
+// adapter is the library's transport: ours.
+type adapter struct{ *Members }
 
-func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+func (t *adapter) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
 	a := t.options.Own.Addr
 	return a.Addr().AsSlice(), int(a.Port()), nil
 }
 
-func (t *transport) WriteTo(b []byte, addr string) (time.Time, error) {
+func (t *adapter) WriteTo(b []byte, addr string) (time.Time, error) {
 	to, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return time.Time{}, err
 	}
-	t.way.Send(to, way.Membership, b) // what the pace or the kernel drops is lost, as on any way
+	t.transport.Send(to, transport.Membership, b) // what the pace or the kernel drops is lost, as on any way
 	return time.Now(), nil
 }
 
-func (t *transport) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
+func (t *adapter) WriteToAddress(b []byte, addr memberlist.Address) (time.Time, error) {
 	return t.WriteTo(b, addr.Addr)
 }
 
-func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
-func (t *transport) StreamCh() <-chan net.Conn           { return t.way.Streams() }
-func (t *transport) Shutdown() error                     { return nil } // the way is closed by who opened it
+func (t *adapter) PacketCh() <-chan *memberlist.Packet { return t.packets }
+func (t *adapter) StreamCh() <-chan net.Conn           { return t.transport.Streams() }
+func (t *adapter) Shutdown() error                     { return nil } // closed by who opened it
 
-func (t *transport) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
-	return t.way.Dial(addr, timeout)
+func (t *adapter) DialTimeout(addr string, timeout time.Duration) (net.Conn, error) {
+	return t.transport.Dial(addr, timeout)
 }
 
-func (t *transport) DialAddressTimeout(addr memberlist.Address, timeout time.Duration) (net.Conn, error) {
-	return t.way.Dial(addr.Addr, timeout)
+func (t *adapter) DialAddressTimeout(addr memberlist.Address, timeout time.Duration) (net.Conn, error) {
+	return t.transport.Dial(addr.Addr, timeout)
 }
 
 // delegate tells the library what a member says of itself.
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -10,7 +10,7 @@
 	"net/netip"
 	"slices"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/policy"
 )
 
@@ -31,7 +31,7 @@
 // Member is one life of a node.
 type Member struct {
 	Name   string
-	Life   way.LifeID
+	Life   transport.LifeID
 	Zone   uint8
 	Number int // of the node among those of its tier
 	Addr   netip.AddrPort
@@ -42,7 +42,9 @@
 }
 
 // id is a member's name among the members: one life has one, for good.
-func id(name string, life way.LifeID) string { return fmt.Sprintf("%s/%016x", name, uint64(life)) }
+func id(name string, life transport.LifeID) string {
+	return fmt.Sprintf("%s/%016x", name, uint64(life))
+}
 
 const metaVersion = 1
 
@@ -65,7 +67,7 @@
 		return errMeta
 	}
 	m.leaves = b[14] == 1
-	m.Zone, m.Number, m.Life = b[1], int(binary.BigEndian.Uint32(b[2:])), way.LifeID(binary.BigEndian.Uint64(b[6:]))
+	m.Zone, m.Number, m.Life = b[1], int(binary.BigEndian.Uint32(b[2:])), transport.LifeID(binary.BigEndian.Uint64(b[6:]))
 	return nil
 }
 
@@ -87,7 +89,7 @@
 type Table struct {
 	own     Member
 	nodes   int // that the settings tell of: numbers are under it
-	members map[way.LifeID]*Member
+	members map[transport.LifeID]*Member
 	joins   uint64
 	numbers map[int][]*Member // those there, by number; who joined last is first
 	keep    policy.Micros     // how long one that is gone is kept
@@ -95,7 +97,7 @@
 
 // NewTable begins with the node itself, and how many nodes its settings tell of.
 func NewTable(own Member, nodes int) *Table {
-	return &Table{own: own, nodes: nodes, members: make(map[way.LifeID]*Member), numbers: make(map[int][]*Member), keep: keepGone}
+	return &Table{own: own, nodes: nodes, members: make(map[transport.LifeID]*Member), numbers: make(map[int][]*Member), keep: keepGone}
 }
 
 // Heard says that a member is there.
@@ -177,7 +179,7 @@
 }
 
 // Gone says that a member has left or was found dead.
-func (t *Table) Gone(now policy.Micros, life way.LifeID, how State) []Change {
+func (t *Table) Gone(now policy.Micros, life transport.LifeID, how State) []Change {
 	m := t.members[life]
 	if m == nil || !m.State.there() {
 		return nil
--- a/internal/fleet/members/table_test.go
+++ b/internal/fleet/members/table_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/policy"
 )
 
@@ -27,7 +27,7 @@
 	for i, step := range []struct {
 		do     func() []Change
 		want   string
-		holder way.LifeID // of number 1
+		holder transport.LifeID // of number 1
 	}{
 		{func() []Change { return table.Heard(1, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "member is there", 11},
 		{func() []Change { return table.Heard(2, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "", 11},
@@ -68,7 +68,7 @@
 func TestMostMembers(t *testing.T) {
 	table := NewTable(Member{Name: "own", Life: 1 << 40}, 1)
 	for i := range mostMembers + 10 {
-		table.Heard(policy.Micros(i), Member{Name: fmt.Sprint("n", i), Life: way.LifeID(i + 1), Number: i})
+		table.Heard(policy.Micros(i), Member{Name: fmt.Sprint("n", i), Life: transport.LifeID(i + 1), Number: i})
 	}
 	if len(table.members) != mostMembers {
 		t.Errorf("%d members", len(table.members))
--- a/internal/fleet/way/frame.go
+++ b/internal/fleet/transport/frame.go
@@ -1,6 +1,6 @@
-// Package way carries what nodes say to each other: frames over UDP for what may be lost, over TCP for what must arrive.
+// Package transport carries what nodes say to each other: frames over UDP for what may be lost, over TCP for what must arrive.
 // Each frame has a version, a length and a sum; what is not understood is counted and passed over.
-package way
+package transport
 
 import (
 	"encoding/binary"
@@ -45,12 +45,12 @@
 }
 
 var (
-	errShort    = errors.New("way: shorter than a head")
-	errVersion  = errors.New("way: another version")
-	errLength   = errors.New("way: another length than it says")
-	errSum      = errors.New("way: another sum than it says: spoilt, or another fleet's")
-	errTooLong  = errors.New("way: longer than a frame may be")
-	errNotPiece = errors.New("way: no piece of a stream")
+	errShort    = errors.New("transport: shorter than a head")
+	errVersion  = errors.New("transport: another version")
+	errLength   = errors.New("transport: another length than it says")
+	errSum      = errors.New("transport: another sum than it says: spoilt, or another fleet's")
+	errTooLong  = errors.New("transport: longer than a frame may be")
+	errNotPiece = errors.New("transport: no piece of a stream")
 )
 
 // seal is what a fleet's name adds to its sums. It keeps fleets apart by accident; it is no secret.
--- a/internal/fleet/way/stream.go
+++ b/internal/fleet/transport/stream.go
@@ -1,4 +1,4 @@
-package way
+package transport
 
 import (
 	"io"
@@ -13,7 +13,7 @@
 // Danger: the connection is held as net.Conn, since copying to one of TCP's own type would go past Write.
 type stream struct {
 	net.Conn
-	way    *Way
+	of     *Transport
 	closed atomic.Bool
 
 	reading  sync.Mutex
@@ -25,11 +25,11 @@
 	outgoing []byte
 }
 
-func (w *Way) stream(c *net.TCPConn) *stream {
+func (w *Transport) stream(c *net.TCPConn) *stream {
 	c.SetDeadline(time.Now().Add(streamWait)) // whoever uses it may set another
 	w.open.Add(1)
 	w.count(func(n *Counts) { n.Streams++ })
-	return &stream{Conn: c, way: w}
+	return &stream{Conn: c, of: w}
 }
 
 // Close gives the stream's room back, once.
@@ -37,13 +37,13 @@
 	if s.closed.Swap(true) {
 		return nil
 	}
-	s.way.open.Add(-1)
+	s.of.open.Add(-1)
 	return s.Conn.Close()
 }
 
 // harm counts a stream that was spoilt, and ends it.
 func (s *stream) harm(err error) error {
-	s.way.count(func(n *Counts) { n.Broken++ })
+	s.of.count(func(n *Counts) { n.Broken++ })
 	s.Close()
 	return err
 }
@@ -68,11 +68,11 @@
 		if _, err := io.ReadFull(s.Conn, s.piece); err != nil {
 			return 0, err
 		}
-		if sum(s.way.seal+uint64(s.got), head[:4], s.piece) != want {
+		if sum(s.of.seal+uint64(s.got), head[:4], s.piece) != want {
 			return 0, s.harm(errSum)
 		}
 		s.got++
-		s.way.count(func(n *Counts) { n.StreamGot += int64(pieceHeadLen + length) })
+		s.of.count(func(n *Counts) { n.StreamGot += int64(pieceHeadLen + length) })
 		s.rest = s.piece
 	}
 	n := copy(b, s.rest)
@@ -90,12 +90,12 @@
 		}
 		out := s.outgoing[:pieceHeadLen+len(part)]
 		copy(out[pieceHeadLen:], part)
-		pieceHead(out, s.way.seal, s.sent, part)
+		pieceHead(out, s.of.seal, s.sent, part)
 		if _, err := s.Conn.Write(out); err != nil {
 			return n, err
 		}
 		s.sent++
-		s.way.count(func(n *Counts) { n.StreamSent += int64(len(out)) })
+		s.of.count(func(n *Counts) { n.StreamSent += int64(len(out)) })
 		n += len(part)
 		b = b[len(part):]
 	}
--- a/internal/fleet/way/way.go
+++ b/internal/fleet/transport/transport.go
@@ -1,4 +1,4 @@
-package way
+package transport
 
 import (
 	"errors"
@@ -75,8 +75,8 @@
 // Handler takes one frame. It must not wait. late is how much longer the frame took than the sender's quickest lately.
 type Handler func(from netip.AddrPort, f *Frame, late time.Duration)
 
-// Way is a node's one port for nodes. Only its own goroutine reads; any may send.
-type Way struct {
+// Transport is a node's one port for nodes. Only its own goroutine reads; any may send.
+type Transport struct {
 	options  Options
 	seal     uint64
 	log      zerolog.Logger
@@ -99,7 +99,7 @@
 }
 
 // Open takes the port, UDP and TCP. Handle comes next, then Run.
-func Open(o Options, log zerolog.Logger) (*Way, error) {
+func Open(o Options, log zerolog.Logger) (*Transport, error) {
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(o.Listen))
 	if err != nil {
 		return nil, err
@@ -110,21 +110,21 @@
 		return nil, err
 	}
 	udp.SetReadBuffer(readBuffer) // best effort: the kernel may give less
-	return &Way{options: o, seal: seal(o.Fleet), log: log, udp: udp, tcp: tcp, began: time.Now(), streams: make(chan net.Conn),
+	return &Transport{options: o, seal: seal(o.Fleet), log: log, udp: udp, tcp: tcp, began: time.Now(), streams: make(chan net.Conn),
 		done: make(chan struct{}), senders: make(map[LifeID]*sender), bucket: float64(o.Pace) * burst.Seconds()}, nil
 }
 
 // Handle says who takes frames of a kind.
-func (w *Way) Handle(kind Kind, take Handler) { w.handlers[kind] = take }
+func (w *Transport) Handle(kind Kind, take Handler) { w.handlers[kind] = take }
 
 // Run takes what comes until Close.
-func (w *Way) Run() {
+func (w *Transport) Run() {
 	w.over.Go(w.read)
 	w.over.Go(w.accept)
 }
 
 // Close gives the port back and ends what runs.
-func (w *Way) Close() {
+func (w *Transport) Close() {
 	select {
 	case <-w.done:
 		return
@@ -137,21 +137,21 @@
 }
 
 // Counts gives what has become of frames so far.
-func (w *Way) Counts() Counts {
+func (w *Transport) Counts() Counts {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.counts
 }
 
 // Life is this process's.
-func (w *Way) Life() LifeID { return w.options.Life }
+func (w *Transport) Life() LifeID { return w.options.Life }
 
-// now is this process's own clock, from the way's start.
-func (w *Way) now() time.Duration { return time.Since(w.began) }
+// now is this process's own clock, from the transport's start.
+func (w *Transport) now() time.Duration { return time.Since(w.began) }
 
 // Send sends a datagram, if the pace allows. It does not wait for anybody. Membership goes before everything else: it may
 // use the pace to its end, the others leave an eighth of it.
-func (w *Way) Send(to netip.AddrPort, kind Kind, payload []byte) bool {
+func (w *Transport) Send(to netip.AddrPort, kind Kind, payload []byte) bool {
 	now := w.now()
 	f := Frame{Kind: kind, Life: w.options.Life, Number: w.number.Add(1), Sent: uint32(now.Milliseconds()), Payload: payload}
 	w.mu.Lock()
@@ -182,7 +182,7 @@
 	return true
 }
 
-func (w *Way) read() {
+func (w *Transport) read() {
 	buffer := make([]byte, headLen+MostPayload+1) // one more shows that there was more
 	for {
 		n, from, err := w.udp.ReadFromUDPAddrPort(buffer)
@@ -202,7 +202,7 @@
 }
 
 // take works one datagram. Danger: what comes from outside must not end the node, whatever it holds.
-func (w *Way) take(from netip.AddrPort, b []byte) {
+func (w *Transport) take(from netip.AddrPort, b []byte) {
 	defer func() {
 		if r := recover(); r != nil {
 			w.mu.Lock()
@@ -242,7 +242,7 @@
 }
 
 // sender finds what is known of one. The lock is held.
-func (w *Way) sender(life LifeID) *sender {
+func (w *Transport) sender(life LifeID) *sender {
 	s := w.senders[life]
 	if s != nil {
 		return s
@@ -262,14 +262,14 @@
 }
 
 // Overrun counts a frame that nobody had room for.
-func (w *Way) Overrun() {
+func (w *Transport) Overrun() {
 	w.mu.Lock()
 	w.counts.Overrun++
 	w.mu.Unlock()
 }
 
 // accept takes streams, no more at a time than may be open.
-func (w *Way) accept() {
+func (w *Transport) accept() {
 	for {
 		c, err := w.tcp.AcceptTCP()
 		if err != nil {
@@ -300,14 +300,14 @@
 	}
 }
 
-func (w *Way) count(do func(*Counts)) {
+func (w *Transport) count(do func(*Counts)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	do(&w.counts)
 }
 
 // Dial opens a stream to a node, from the node's own address.
-func (w *Way) Dial(addr string, timeout time.Duration) (net.Conn, error) {
+func (w *Transport) Dial(addr string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout}
 	if ip := w.options.Listen.Addr(); !ip.IsUnspecified() {
 		dialer.LocalAddr = &net.TCPAddr{IP: ip.AsSlice()}
@@ -320,4 +320,4 @@
 }
 
 // Streams are those that others open. Whoever takes one closes it.
-func (w *Way) Streams() <-chan net.Conn { return w.streams }
+func (w *Transport) Streams() <-chan net.Conn { return w.streams }
--- a/internal/fleet/way/way_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -1,4 +1,4 @@
-package way
+package transport
 
 import (
 	"bytes"
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-func open(t *testing.T, life LifeID, pace int) *Way {
+func open(t *testing.T, life LifeID, pace int) *Transport {
 	t.Helper()
 	for port := uint16(21000); port < 22000; port++ {
 		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
--- a/internal/fleet/words/words.go
+++ b/internal/fleet/words/words.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 )
 
@@ -32,7 +32,7 @@
 	Heard   int64 `json:"heard"`   // handed to the module
 	Pushed  int64 `json:"pushed"`  // out of a full queue: the oldest
 	Nobody  int64 `json:"nobody"`  // has the number
-	Paced   int64 `json:"paced"`   // dropped by the way
+	Paced   int64 `json:"paced"`   // dropped by the transport
 	Stale   int64 `json:"stale"`   // came, or were to go, too late
 	Foreign int64 `json:"foreign"` // of a form that is not understood
 	Busy    int64 `json:"busy"`    // came while the node's mailbox was full
@@ -47,12 +47,12 @@
 
 // Words is the actor.
 type Words struct {
-	way    *way.Way
-	holder func(number int) (netip.AddrPort, bool)
-	said   func([]byte) bool
-	wake   chan struct{} // holds one
-	done   chan struct{}
-	over   sync.WaitGroup
+	transport *transport.Transport
+	holder    func(number int) (netip.AddrPort, bool)
+	said      func([]byte) bool
+	wake      chan struct{} // holds one
+	done      chan struct{}
+	over      sync.WaitGroup
 
 	mu     sync.Mutex
 	queues []*queue
@@ -62,9 +62,9 @@
 }
 
 // Start carries words: holder gives the address of the node that now has a number, said takes what comes.
-func Start(w *way.Way, holder func(int) (netip.AddrPort, bool), said func([]byte) bool) *Words {
-	s := &Words{way: w, holder: holder, said: said, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	w.Handle(way.Words, s.take)
+func Start(w *transport.Transport, holder func(int) (netip.AddrPort, bool), said func([]byte) bool) *Words {
+	s := &Words{transport: w, holder: holder, said: said, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	w.Handle(transport.Words, s.take)
 	s.over.Go(s.run)
 	return s
 }
@@ -166,7 +166,7 @@
 		count = &s.counts.Stale
 	case !known:
 		count = &s.counts.Nobody
-	case !s.way.Send(to, way.Words, payload):
+	case !s.transport.Send(to, transport.Words, payload):
 		count = &s.counts.Paced
 	}
 	s.mu.Lock()
@@ -176,7 +176,7 @@
 }
 
 // take hands on what comes.
-func (s *Words) take(_ netip.AddrPort, f *way.Frame, late time.Duration) {
+func (s *Words) take(_ netip.AddrPort, f *transport.Frame, late time.Duration) {
 	n := (len(f.Payload) - 1) / wordLen
 	var count *int64
 	switch {
--- a/internal/fleet/words/words_test.go
+++ b/internal/fleet/words/words_test.go
@@ -7,15 +7,15 @@
 
 	"github.com/rs/zerolog"
 
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 )
 
-func open(t *testing.T, life way.LifeID) (*way.Way, netip.AddrPort) {
+func open(t *testing.T, life transport.LifeID) (*transport.Transport, netip.AddrPort) {
 	t.Helper()
 	for port := uint16(21000); port < 22000; port++ {
 		at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.2"), port)
-		if w, err := way.Open(way.Options{Listen: at, Advertise: at, Life: life, Pace: 1 << 20}, zerolog.Nop()); err == nil {
+		if w, err := transport.Open(transport.Options{Listen: at, Advertise: at, Life: life, Pace: 1 << 20}, zerolog.Nop()); err == nil {
 			t.Cleanup(w.Close)
 			return w, at
 		}
@@ -60,12 +60,12 @@
 	if c := s.Counts(); c.Told != 200 || c.Pushed != 2*(100-mostQueued) || c.Nobody != mostQueued || c.Sent != mostQueued {
 		t.Errorf("told: %+v", c)
 	}
-	hears.take(to, &way.Frame{Payload: []byte{formVersion, 1, 2, 3}}, stale+1)
-	hears.take(to, &way.Frame{Payload: []byte{formVersion + 1, 1, 2, 3}}, 0)
-	hears.take(to, &way.Frame{Payload: []byte{formVersion, 1, 2}}, 0)
-	hears.take(to, &way.Frame{}, 0)
+	hears.take(to, &transport.Frame{Payload: []byte{formVersion, 1, 2, 3}}, stale+1)
+	hears.take(to, &transport.Frame{Payload: []byte{formVersion + 1, 1, 2, 3}}, 0)
+	hears.take(to, &transport.Frame{Payload: []byte{formVersion, 1, 2}}, 0)
+	hears.take(to, &transport.Frame{}, 0)
 	busy = true
-	hears.take(to, &way.Frame{Payload: []byte{formVersion, 1, 2, 3}}, 0)
+	hears.take(to, &transport.Frame{Payload: []byte{formVersion, 1, 2, 3}}, 0)
 	if c := hears.Counts(); c.Heard != mostQueued || c.Stale != 1 || c.Foreign != 3 || c.Busy != 1 {
 		t.Errorf("heard: %+v", c)
 	}
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -11,7 +11,7 @@
 
 	"canvasrouter/internal/config"
 	"canvasrouter/internal/fleet"
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/standin/relay"
 	"canvasrouter/policy"
@@ -190,7 +190,7 @@
 // Agree is Cluster's.
 func (c *HollowCluster) Agree(ctx context.Context, places []int, most time.Duration) (time.Duration, error) {
 	begun := time.Now()
-	want := make(map[way.LifeID]bool, len(places))
+	want := make(map[transport.LifeID]bool, len(places))
 	for _, place := range places {
 		if f := c.fleetOf(place); f != nil {
 			want[f.Life()] = true
@@ -219,7 +219,7 @@
 	}
 }
 
-func knows(f *fleet.Fleet, want map[way.LifeID]bool) bool {
+func knows(f *fleet.Fleet, want map[transport.LifeID]bool) bool {
 	others := f.Others()
 	if len(others) != len(want)-1 {
 		return false
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -63,7 +63,7 @@
 			{column: "bytes", what: "first list, 40 servers", record: "list", kind: Hollow, name: "first_bytes", unit: "bytes"},
 		}, missing: "its own processor time and memory: it is not ours"},
 	{role: "Members", state: "N x some 1.2 KB in each node (the library's state, table, senders)", command: "canvaslab scale members --nodes 25,50,100,200,400,900 (hollow); --nodes 25,50,100,200 --node bin/canvasrouter (real)",
-		mechanism: "`fleet/members`: SWIM with Lifeguard (memberlist) on `fleet/way`",
+		mechanism: "`fleet/members`: SWIM with Lifeguard (memberlist) on `fleet/transport`",
 		cells: []cell{
 			{column: "messages", what: "datagrams sent, calm", record: "members", kind: Hollow, name: "calm_datagrams", unit: "/s"},
 			{column: "bytes", what: "calm", record: "members", kind: Hollow, name: "calm_bytes", unit: "bytes/s", budget: mostBytes, control: "bytes"},
@@ -73,7 +73,7 @@
 			{column: "in force", what: "a tenth killed", record: "members", kind: Hollow, name: "killed_s", unit: "s"},
 		}},
 	{role: "Judgements on servers", state: "min(8 x C, 512) servers x 8 reports x some 100 bytes", command: "canvaslab scale judgements --nodes 25,50,100,200,400,900",
-		mechanism: "`fleet/judged`: reports by source, gossiped by way",
+		mechanism: "`fleet/judged`: reports by source, gossiped by `fleet/transport`",
 		cells: []cell{
 			{column: "bytes", what: "calm", record: "judgements", kind: Hollow, name: "calm_bytes", unit: "bytes/s", control: "bytes"},
 			{column: "bytes", what: "a tenth of the servers silent", record: "judgements", kind: Hollow, name: "fault_bytes", unit: "bytes/s", budget: mostBytes, control: "fault"},
--- a/internal/lab/together/liar.go
+++ b/internal/lab/together/liar.go
@@ -10,7 +10,7 @@
 
 	"canvasrouter/internal/fleet/judged"
 	"canvasrouter/internal/fleet/members"
-	"canvasrouter/internal/fleet/way"
+	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 	"canvasrouter/policy"
 )
@@ -18,7 +18,7 @@
 // Liar is a member that takes no ops and says the same of every server to everybody, again and again: as bad a neighbour as
 // the frames allow.
 type Liar struct {
-	way     *way.Way
+	way     *transport.Transport
 	members *members.Members
 	done    chan struct{}
 	over    sync.WaitGroup
@@ -29,8 +29,8 @@
 // NewLiar joins at a place as one more node, and lies of these servers until Close.
 func (g *Rig) NewLiar(place, nodes int, ill judged.Ill, servers []policy.ServerID) (*Liar, error) {
 	at := g.Place(place)
-	life := way.LifeID(rand.Uint64())
-	w, err := way.Open(way.Options{Fleet: "canvasrouter", Listen: at.Listen, Advertise: at.Advertise, Life: life, Pace: 1 << 20}, zerolog.Nop())
+	life := transport.LifeID(rand.Uint64())
+	w, err := transport.Open(transport.Options{Fleet: "canvasrouter", Listen: at.Listen, Advertise: at.Advertise, Life: life, Pace: 1 << 20}, zerolog.Nop())
 	if err != nil {
 		return nil, err
 	}
@@ -63,11 +63,11 @@
 			}
 		}
 		for len(reports) > 0 {
-			part := reports[:min(len(reports), judged.Fit(way.MostPayload))]
+			part := reports[:min(len(reports), judged.Fit(transport.MostPayload))]
 			reports = reports[len(part):]
 			payload := judged.Append(nil, part)
 			for _, m := range l.members.There() {
-				l.way.Send(m.Addr, way.Judgements, payload)
+				l.way.Send(m.Addr, transport.Judgements, payload)
 			}
 		}
 	}
