Errors that no load made no longer shut a node: with hardly a push out they are marks from half on

Errors of resets behind the next tier come whatever is sent, so the control of all servers finds no rate with few enough of them: it goes to its lowest, shuts one benefit level after another, and stays for ten seconds and more.

Change: one condition. With fewer pushes out than servers in the rotation errors are marks only from half of all answers on.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,8 +120,9 @@
 		if s.errors > 1.0/2 && s.errors > 2*n.errors {
 			return onServer
 		}
-		// Danger: errors everywhere come from a tier below that is full, or dies of what it is sent again.
-		if n.errors > errorShare {
+		// Danger: errors everywhere come from a tier below that is full, or dies of what it is sent again. Some
+		// come whatever this node sends, and would shut it: with hardly a push out they must be half of all.
+		if n.errors > errorShare*(1+3*number(n.out < n.up)) {
 			return onLoad
 		}
 	}
