The time that a server is told is counted when its connection is there, not when the push is made

Cause: servers.peer.request wrote X-Remaining-Ms from Push.For before the dial.

Change: the header is written anew once the push has its connection (httptrace GotConn), with what is left by then.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -503,7 +503,8 @@
 		n.log.Error().Uint32("op", uint32(e.Op)).Msg("push of an op that is not in hand")
 		return
 	}
-	push := &Push{Request: &op.Request, Server: e.Server, op: op, no: policy.PushNo(len(op.pushes)), sent: n.now}
+	push := &Push{Request: &op.Request, Server: e.Server, op: op, no: policy.PushNo(len(op.pushes)), sent: n.now,
+		made: time.Now()}
 	push.Context, push.cancel = context.WithCancel(context.Background())
 	op.pushes = append(op.pushes, push)
 	op.out++
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -119,12 +119,21 @@
 	op      *Op
 	no      policy.PushNo
 	fate    atomic.Uint32 // whether its first byte may be written
+	made    time.Time     // zero: For counts from whenever it is asked
 	cancel  context.CancelFunc
 	sent    policy.Micros
 	ended   bool // told to the module
 	timeout *timer
 }
 
+// Left is how long the node will wait yet. Any goroutine may ask.
+func (p *Push) Left() policy.Micros {
+	if p.made.IsZero() {
+		return p.For
+	}
+	return max(0, p.For-policy.Micros(time.Since(p.made).Microseconds()))
+}
+
 // What becomes of a push's first byte. From unsent there is one way on, so that who writes and who keeps back agree.
 const (
 	unsent uint32 = iota
--- a/internal/servers/crossing_test.go
+++ b/internal/servers/crossing_test.go
@@ -419,6 +419,50 @@
 	}
 }
 
+// A push's connection comes up late. What its server is told of the time that is left is counted from when it is written, not from when the
+// push was made.
+func TestTimeToldOnALateConnection(t *testing.T) {
+	type heard struct {
+		left time.Duration
+		at   time.Time
+	}
+	told := make(chan heard, 1)
+	addr, empty := stuffed(t, func(c net.Conn, in *bufio.Reader) {
+		head, _, err := read(in)
+		if err != nil {
+			return
+		}
+		_, rest, _ := strings.Cut(head, "X-Remaining-Ms: ")
+		ms, err := strconv.Atoi(strings.TrimSpace(strings.SplitN(rest, "\r\n", 2)[0]))
+		if err != nil {
+			t.Error(err)
+		}
+		told <- heard{time.Duration(ms) * time.Millisecond, time.Now()}
+		io.WriteString(c, answer("200 OK", "fine"))
+	})
+	a := newActor(t, addr, bound)
+	const wait = 4 * time.Second
+	made := time.Now()
+	op := a.opOf("late", "body", policy.Micros(wait/time.Microsecond))
+	for begun := time.Now(); !dialing(t, addr); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > bound {
+			t.Fatal("no dial is under way")
+		}
+	}
+	time.Sleep(300 * time.Millisecond)
+	empty()
+	got := <-told
+	if left := wait - got.at.Sub(made); got.left > left+20*time.Millisecond || got.left <= 0 {
+		t.Errorf("told %v, %v are left", got.left, left)
+	}
+	if got.at.Sub(made) < 300*time.Millisecond {
+		t.Error("the connection was not late")
+	}
+	if v := verdict(t, op); v != node.Acked {
+		t.Errorf("the op: %v", v)
+	}
+}
+
 // The server ends an idle connection after a push has chosen it: the test holds the push between its choice and its first byte.
 // Nothing of it is written there, and it goes on another connection, once.
 func TestIdleEndsOnceChosen(t *testing.T) {
--- a/internal/servers/peer.go
+++ b/internal/servers/peer.go
@@ -145,7 +145,8 @@
 		}
 	}
 	dropHopByHop(header)
-	header.Set(remainingHeader, strconv.FormatInt(int64(push.For/policy.Millisecond), 10))
+	tell := func() { header.Set(remainingHeader, strconv.FormatInt(int64(push.Left()/policy.Millisecond), 10)) }
+	tell()
 	if _, told := header["User-Agent"]; !told {
 		header["User-Agent"] = []string{""} // none, rather than the library's
 	}
@@ -162,7 +163,12 @@
 		request.TransferEncoding = []string{"identity"}
 	}
 	return request.WithContext(httptrace.WithClientTrace(push.Context, &httptrace.ClientTrace{
-		GotConn:     func(info httptrace.GotConnInfo) { way.begin(info) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			// Danger: a connection may have come up late, and a server that is told of more time than its client has goes on
+			// with what nobody waits for. The library reads the header after this.
+			tell()
+			way.begin(info)
+		},
 		PutIdleConn: func(error) { p.part.Idle() },
 	}))
 }
