--- a/cmd/canvasrouter/deploy_test.go
+++ b/cmd/canvasrouter/deploy_test.go
@@ -59,7 +59,7 @@
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, line := range strings.Fields(string(out)) {
-		if regexp.MustCompile(`internal/fleet|hashicorp|bbolt|kong`).MatchString(line) {
+		if regexp.MustCompile(`internal/fleet|internal/store|jsonpatch|json-patch|hashicorp|bbolt|kong`).MatchString(line) {
 			t.Errorf("links %s", line)
 		}
 	}
--- a/cmd/canvasrouter/store_test.go
+++ b/cmd/canvasrouter/store_test.go
@@ -12,6 +12,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"canvasrouter/internal/fleet"
+	"canvasrouter/internal/store"
 )
 
 // storeRig is three replicas and some nodes, each a process of the program.
@@ -275,3 +278,15 @@
 		t.Errorf("a node without the key: exit %d, %s", code, out)
 	}
 }
+
+// A node's own look shows which changes it was told of, runs, and refuses.
+func TestFleetShowsTheStore(t *testing.T) {
+	var b strings.Builder
+	printView(&b, &fleet.View{Store: &store.Look{Replica: "127.0.0.1:7950", Told: map[store.Key]store.Version{"all": 3}, Runs: map[store.Key]store.Version{"all": 2},
+		Refused: map[store.Key]store.Refusal{"all": {Version: 3, Why: "setting tick is no number"}}}})
+	for _, want := range []string{"store: watches 127.0.0.1:7950; runs map[all:2] of what it was told, map[all:3]", "all version 3 refused: setting tick is no number"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("no %q in %s", want, b.String())
+		}
+	}
+}
