--- a/cmd/canvasrouter/store_test.go
+++ b/cmd/canvasrouter/store_test.go
@@ -1,3 +1,5 @@
+//go:build !platform
+
 package main
 
 import (
