A replica that is lost no longer takes with it what its nodes run

Cause: a node reports to the replica that it watches alone; all three watched the one that was killed, the others knew no node, and the change command took none for all. Change: a replica passes reports on (numbered, so that a late one does not take a newer one's place), and no node is never all nodes. TestFollower asks all three replicas, and fails without the passing on (1 replica knows). canvasrouter change waits on where nobody has reported.

--- a/cmd/canvasrouter/store.go
+++ b/cmd/canvasrouter/store.go
@@ -158,11 +158,14 @@
 	for begun := time.Now(); c.Wait > 0; time.Sleep(200 * time.Millisecond) {
 		g := gatherStates(s.Replicas)
 		runs, of, lag, refused := g.runs(change.Key, answer.Version)
-		if runs == of || time.Since(begun) > c.Wait {
+		if of > 0 && runs == of || time.Since(begun) > c.Wait {
 			fmt.Printf("in force at %d of %d nodes after %.1f s\n", runs, of, time.Since(begun).Seconds())
 			for _, line := range append(refused, lag...) {
 				fmt.Println(" ", line)
 			}
+			if of == 0 {
+				return errors.New("no node that it is for has reported")
+			}
 			if runs < of {
 				return fmt.Errorf("not in force at %d nodes", of-runs)
 			}
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -199,6 +199,7 @@
 func (f *Follower) Runs(runs map[Key]Version, refused map[Key]Refusal) {
 	f.mu.Lock()
 	f.report.Runs, f.report.Refused = maps.Clone(runs), maps.Clone(refused)
+	f.report.Number++
 	f.mu.Unlock()
 	f.again()
 }
--- a/internal/store/replica.go
+++ b/internal/store/replica.go
@@ -59,7 +59,8 @@
 // Report is what a node says that it runs.
 type Report struct {
 	Node    string          `json:"node"`
-	Life    string          `json:"life"` // of its process
+	Number  uint64          `json:"number"` // counts what a process has had to say
+	Life    string          `json:"life"`   // of its process
 	Zone    int             `json:"zone"`
 	Keys    []Key           `json:"keys"`
 	Runs    map[Key]Version `json:"runs"`
@@ -213,7 +214,7 @@
 		if round.at == done {
 			if round.value != nil {
 				r.take(round.value)
-				r.spread(ctx, round.value)
+				r.pass("/chosen", round.value)
 			}
 			return round.verdict, round.version, nil
 		}
@@ -325,14 +326,14 @@
 	return json.NewDecoder(io.LimitReader(response.Body, mostKeys*mostPatch)).Decode(out)
 }
 
-// spread tells the other replicas what is chosen, and waits for none of them; who misses it finds it by sync.
-func (r *Replica) spread(_ context.Context, v *Value) {
+// pass tells the other replicas something, and waits for none of them: what is chosen and missed they find by sync, a report comes again.
+func (r *Replica) pass(path string, what any) {
 	for i, addr := range r.options.Peers {
 		if i != r.options.Number {
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), phaseWait)
 				defer cancel()
-				r.ask(ctx, addr, "/chosen", v, nil)
+				r.ask(ctx, addr, path, what, nil)
 			}()
 		}
 	}
@@ -422,8 +423,14 @@
 		handle(w, q, func(v *Value) (any, error) { r.take(v); return struct{}{}, nil })
 	case "POST /sync":
 		handle(w, q, func(s *synced) (any, error) { return r.missing(s), nil })
-	case "POST /report":
-		handle(w, q, func(p *Report) (any, error) { return struct{}{}, r.heard(p) })
+	case "POST /report", "POST /reported":
+		handle(w, q, func(p *Report) (any, error) {
+			err := r.heard(p)
+			if err == nil && q.URL.Path == "/report" {
+				r.pass("/reported", p) // Danger: with a replica, what its nodes run would be lost, and none would seem to lag
+			}
+			return struct{}{}, err
+		})
 	case "POST /change":
 		r.asked(w, q)
 	default:
@@ -538,6 +545,9 @@
 	if len(r.reports) >= mostReports && r.reports[p.Node] == nil {
 		return errFull
 	}
+	if was := r.reports[p.Node]; was != nil && was.Life == p.Life && was.Number > p.Number {
+		return nil // it comes by another replica, and late
+	}
 	r.reports[p.Node] = &reported{*p, time.Now()}
 	return nil
 }
--- a/internal/store/replica_test.go
+++ b/internal/store/replica_test.go
@@ -342,6 +342,21 @@
 			t.Fatal("no report")
 		}
 	}
+	// The others know it too: should this replica be lost, the node must not seem to have gone with it.
+	for begun := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		know := 0
+		for _, one := range r.replicas {
+			if nodes := one.State().Nodes; len(nodes) == 1 && nodes[0].Runs["all"] == 1 {
+				know++
+			}
+		}
+		if know == 3 {
+			break
+		}
+		if time.Since(begun) > 10*time.Second {
+			t.Fatalf("%d replicas know what it runs", know)
+		}
+	}
 	// The replica that it watches ends; the two others are made to know nothing, as if they were behind.
 	r.stop(at)
 	for i, one := range r.replicas {
