Rig: a node started at the very end of its process comes back; one that is stuck tells where

The cause is not found. What would have shown it is here now: a process that does not get ready in its time tells its state for the kernel and, on SIGQUIT, where all its goroutines stand (TestStuckNodeTells).

Found on the way (process.go, start and await): restart waits for the process's end, and start, if it had the lock before await, took the ended process for a running one and returned without a word; the node stayed away for the rest of the run. TestStartBehindItsEnd forces the order and fails without the change.

--- a/internal/lab/live/live_test.go
+++ b/internal/lab/live/live_test.go
@@ -211,6 +211,44 @@
 	}
 }
 
+// A node that does not get ready says where its goroutines stand.
+func TestStuckNodeTells(t *testing.T) {
+	short(t, time.Second)
+	o := options(t, read(t, "steady"), "", policy.Second)
+	shell(t, &o, `sed -i 's/"listen":"[^"]*"/"listen":"127.0.0.1:0"/' "$NODE_CONFIG"; exec "$0"`) // it listens where nobody asks
+	_, _, err := Run(t.Context(), o)
+	if err == nil || !strings.Contains(err.Error(), "is not ready after 1s") || !strings.Contains(err.Error(), "clients.(*Server).Serve") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A node that is started anew at the very end of its process comes back, whoever sees that end first.
+func TestStartBehindItsEnd(t *testing.T) {
+	r, err := start(t.Context(), options(t, read(t, "steady"), "", policy.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer r.stop()
+	n := r.nodes[0]
+	n.mu.Lock()
+	cmd := n.process
+	n.mu.Unlock()
+	if err := n.kill(); err != nil {
+		t.Fatal(err)
+	}
+	n.mu.Lock()
+	n.process = cmd // as long as await has not got the lock
+	n.mu.Unlock()
+	if err := n.start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	response, err := readyClient.Get("http://" + n.door.addr + "/-/ready")
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+}
+
 // A run that is cancelled while it starts leaves nothing running, and a stand-in whose address is taken says so.
 func TestCancelledWhileStarting(t *testing.T) {
 	o := options(t, read(t, "steady"), "", policy.Second)
--- a/internal/lab/live/process.go
+++ b/internal/lab/live/process.go
@@ -57,8 +57,13 @@
 	// outputWait ends the reading of a process's output once it has ended. Danger: a process that it has started may
 	// hold that output open and wait for the end of its own input, which only ends when this does.
 	outputWait = time.Second
+	// tellWait is how long a process that does not get ready may take to tell where it stands.
+	tellWait = 2 * time.Second
 )
 
+// mostTail is kept of a log: enough for where all of a node's goroutines stand.
+const mostTail = 64 << 10
+
 // tail keeps the last lines of a log.
 type tail struct {
 	mu   sync.Mutex
@@ -69,7 +74,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.last = append(t.last, p...)
-	if cut := len(t.last) - 4096; cut > 0 {
+	if cut := len(t.last) - mostTail; cut > 0 {
 		t.last = append([]byte(nil), t.last[cut:]...)
 	}
 	return len(p), nil
@@ -88,7 +93,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.process != nil {
-		return nil
+		select {
+		case <-b.ended: // Danger: whoever waited for its end may be here before await is, and the node would stay away
+		default:
+			return nil
+		}
 	}
 	b.lives++
 	b.run.begins(b)
@@ -143,11 +152,30 @@
 		default:
 		}
 		if time.Since(begun) > readyWait {
-			return fmt.Errorf("node %d is not ready after %v: %v: %s", b.place, readyWait, last, b.log.line())
+			return fmt.Errorf("node %d is not ready after %v: %v: %s", b.place, readyWait, last, b.stands(cmd, ended))
 		}
 	}
 }
 
+// stands tells where a process stands that does not get ready, and ends it: its state for the kernel, and its goroutines.
+func (b *balancer) stands(cmd *exec.Cmd, ended <-chan struct{}) string {
+	var state []string
+	for _, of := range []string{"stat", "wchan", "syscall", "cmdline"} {
+		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/%s", cmd.Process.Pid, of))
+		state = append(state, of+" "+strings.ReplaceAll(strings.TrimSpace(string(raw)), "\x00", " "))
+	}
+	b.wanted = false
+	cmd.Process.Signal(syscall.SIGQUIT) // Go's runtime then writes where all goroutines stand
+	select {
+	case <-ended:
+	case <-time.After(tellWait):
+		state = append(state, "SIGQUIT did not end it")
+	}
+	b.log.mu.Lock()
+	defer b.log.mu.Unlock()
+	return strings.Join(state, "; ") + "; its log:\n" + string(b.log.last)
+}
+
 var readyClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 // fleet is the node's key of that name, or nil where it hears nobody.
