Scale: clocks slowed by a factor, calm over whole exchanges, starts spread out; the list of others made when asked for

Cause of the forms of members that were off by a fifth and more (CAPACITY): the library exchanges all it knows each 5 s up to 32 nodes and a base more for each doubling (15 s at 100, 25 s at 400), staggered by 5 s alone. Nodes that start together exchange together for as long as they live, and ten seconds of calm held all of an exchange or nothing of it. Calm is now a minute at the least, in whole exchanges (members.ExchangeEvery), and nodes come one after another over one exchange; all at once is played at the end, by its own.

The record's field of that name is each play's now, so two broken records of TestRecords are others, as strict.

Members.There was made and sorted anew at each change, under the table's lock: N log N a change, N changes a node as a fleet joins. It is made when somebody asks.

--- a/cmd/canvaslab/scale.go
+++ b/cmd/canvaslab/scale.go
@@ -21,7 +21,8 @@
 	First  int           `help:"Number of the first play: records keep one of each size and number." default:"1"`
 	Node   string        `help:"The node's program: then nodes are processes of it. Left out they are hollow, many in this process." type:"existingfile" placeholder:"PATH"`
 	Called int           `help:"Services that a node calls, of eight servers each." default:"5"`
-	Calm   time.Duration `help:"How long each phase is counted." default:"10s"`
+	Calm   time.Duration `help:"How long each phase is counted; calm of members a minute at the least." default:"10s"`
+	Slow   int           `help:"All clocks of hollow nodes that hear each other, by this factor; figures are told for a second of that clock." default:"1"`
 	Seed   uint64        `help:"Of all chance." default:"1"`
 	Out    string        `help:"Directory of the records." default:"docs/capacity" placeholder:"DIR"`
 }
@@ -30,6 +31,8 @@
 const (
 	mostReal   = 300
 	mostHollow = 1000
+	// mostSlow keeps the relay's own waits, which are of real time, above those that are slowed.
+	mostSlow = 10
 )
 
 // Run plays each size, writes down what smaller ones predict before it, and keeps what was measured.
@@ -47,6 +50,9 @@
 	if s.Plays < 1 || s.Plays > 10 || s.First < 1 || s.Calm < time.Second || s.Calm > time.Minute || s.Called < 1 {
 		return errors.New("--plays is from 1 to 10, --first and --called at least 1, --calm from 1s to 1m")
 	}
+	if slowed := s.Role == "members" || s.Role == "judgements"; s.Slow < 1 || s.Slow > mostSlow || s.Slow > 1 && (!slowed || kind == scale.Real) {
+		return fmt.Errorf("--slow is from 1 to %d, for hollow members and judgements alone", mostSlow)
+	}
 	name := s.Role
 	if s.Called != 5 {
 		name = fmt.Sprintf("%s%d", s.Role, s.Called)
@@ -111,7 +117,7 @@
 		if s.Role == "members" {
 			keep = scale.KeepScaled
 		}
-		if c, err = scale.NewHollow(nodes, s.Called, keep, seed); err != nil {
+		if c, err = scale.NewHollow(nodes, s.Called, keep, s.Slow, seed); err != nil {
 			return p, err
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -72,7 +72,8 @@
 	return StartKeeping(c, n, clock, log, 0)
 }
 
-// StartKeeping is Start, where members that are gone are kept for another time than usual: a test of long cuts has no hours.
+// StartKeeping is Start, where members that are gone are kept for another time than usual: a test of long cuts has no hours. All
+// waits here are by the clock, which may be slowed.
 func StartKeeping(c *config.Config, n *node.Node, clock *node.Clock, log zerolog.Logger, keep time.Duration) (*Fleet, error) {
 	f := &Fleet{config: c.Fleet, clock: clock, log: log, node: n, number: uint16(c.Rules.Place.Number), done: make(chan struct{}),
 		started: make(map[policy.ServerID]policy.Micros)}
@@ -80,7 +81,8 @@
 	zone := uint8(c.Rules.Place.Zone)
 	f.book, f.own = judged.NewBook(judged.SourceID(life), zone), judged.NewLog()
 	var err error
-	f.transport, err = transport.Open(transport.Options{Fleet: c.Fleet.Name, Listen: c.Fleet.Listen, Advertise: c.Fleet.Advertise, Life: life, Pace: c.Fleet.Pace},
+	f.transport, err = transport.Open(transport.Options{Fleet: c.Fleet.Name, Listen: c.Fleet.Listen, Advertise: c.Fleet.Advertise, Life: life, Pace: c.Fleet.Pace,
+		Slow: int(clock.Real(1))},
 		log.With().Str("part", "transport").Logger())
 	if err != nil {
 		return nil, fmt.Errorf("key fleet.listen: %w", err)
@@ -230,7 +232,7 @@
 
 // judge is the beat of judgements.
 func (f *Fleet) judge() {
-	ticker := time.NewTicker(judgeEvery)
+	ticker := time.NewTicker(f.clock.Real(judgeEvery))
 	defer ticker.Stop()
 	payload := make([]byte, 0, transport.MostPayload)
 	told := make(map[transport.LifeID]bool) // those who were told all when they came
--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	stdlog "log"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -26,6 +27,8 @@
 	// young is how long after its start a node also asks those that it knows for all that they know, one each second or so.
 	// Danger: where many start together each joins by one that knows few yet; what gossip misses then came 30 s later.
 	young = 10 * time.Second
+	// exchangeEvery is how often a node exchanges all that it knows with another; see ExchangeEvery.
+	exchangeEvery = 5 * time.Second
 	// leaveWait is how long a node waits until its leaving has gone out.
 	leaveWait = 300 * time.Millisecond
 	// leavePause lies between the word that the node leaves and its going. Danger: each goes to a few at a time, who pass it on; who hears
@@ -58,7 +61,7 @@
 
 	mu    sync.Mutex
 	table *Table
-	there atomic.Pointer[[]Member] // all others that are there, as of the last change
+	there atomic.Pointer[[]Member] // all others that are there; nil: there was a change since somebody asked
 }
 
 // Start joins. Nobody needs to be there yet.
@@ -68,7 +71,6 @@
 	if o.Keep > 0 {
 		m.table.keep = policy.Micros(o.Keep.Microseconds())
 	}
-	m.there.Store(new([]Member))
 	w.Handle(transport.Membership, m.packet)
 	config := memberlist.DefaultLANConfig()
 	config.Name = id(o.Own.Name, o.Own.Life)
@@ -79,12 +81,13 @@
 	config.Logger = stdlog.New(quiet{log}, "", 0)
 	config.UDPBufferSize = transport.MostPayload
 	config.EnableCompression = false // what is told is short
-	config.ProbeInterval, config.ProbeTimeout = 500*time.Millisecond, 200*time.Millisecond
+	config.ProbeInterval, config.ProbeTimeout = clock.Real(500*time.Millisecond), clock.Real(200*time.Millisecond)
 	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
 	config.AwarenessMaxMultiplier = 3 // Danger: a node that is cut off finds itself ill, and would look for the others ever more slowly
-	config.GossipInterval = 100 * time.Millisecond
-	config.PushPullInterval = 5 * time.Second // the library makes it longer with the members
-	config.TCPTimeout = 2 * time.Second
+	config.GossipInterval = clock.Real(100 * time.Millisecond)
+	config.PushPullInterval = clock.Real(exchangeEvery)
+	config.TCPTimeout = clock.Real(2 * time.Second)
+	config.GossipToTheDeadTime, config.QueueCheckInterval = clock.Real(config.GossipToTheDeadTime), clock.Real(config.QueueCheckInterval)
 	list, err := memberlist.Create(config)
 	if err != nil {
 		return nil, fmt.Errorf("members: %w", err)
@@ -94,15 +97,25 @@
 	return m, nil
 }
 
+// ExchangeEvery is how often each of so many nodes exchanges all that it knows with another: the library's base up to 32, and one
+// base more for each doubling past that. What a node sends and gets in the mean is told over whole such spans.
+func ExchangeEvery(nodes int) time.Duration {
+	longer := 1.0
+	if nodes > 32 {
+		longer += math.Ceil(math.Log2(float64(nodes)) - 5)
+	}
+	return time.Duration(longer) * exchangeEvery
+}
+
 // Leave tells the others that the node leaves, and waits until that has gone out, for a while at the most.
 func (m *Members) Leave() {
 	m.left.Do(func() {
 		m.leaves.Store(true)
-		if err := m.list.UpdateNode(leaveWait); err != nil {
+		if err := m.list.UpdateNode(m.clock.Real(leaveWait)); err != nil {
 			m.log.Debug().Err(err).Msg("that the node leaves was not told to all")
 		}
-		time.Sleep(leavePause)
-		if err := m.list.Leave(leaveWait); err != nil {
+		time.Sleep(m.clock.Real(leavePause))
+		if err := m.list.Leave(m.clock.Real(leaveWait)); err != nil {
 			m.log.Debug().Err(err).Msg("leaving was not told to all")
 		}
 	})
@@ -123,7 +136,22 @@
 }
 
 // There gives all others that are there. The slice is shared: it is read alone, and another one after a change.
-func (m *Members) There() []Member { return *m.there.Load() }
+//
+// It is made when it is asked for. Danger: hundreds join or come back together, and a list sorted anew at each one's word costs
+// their square.
+func (m *Members) There() []Member {
+	if all := m.there.Load(); all != nil {
+		return *all
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if all := m.there.Load(); all != nil {
+		return *all // somebody else has asked meanwhile
+	}
+	all := m.table.There()
+	m.there.Store(&all) // changes come under the lock, too
+	return all
+}
 
 // Holder is whom a word to a number goes to.
 func (m *Members) Holder(number int) (Member, bool) {
@@ -137,8 +165,7 @@
 	m.mu.Lock()
 	changes := change(m.clock.Now())
 	if len(changes) > 0 {
-		all := m.table.There()
-		m.there.Store(&all)
+		m.there.Store(nil)
 	}
 	m.mu.Unlock()
 	for _, c := range changes {
@@ -176,18 +203,18 @@
 // all ask the same one at once.
 func (m *Members) ask() {
 	rng := rand.New(rand.NewPCG(m.options.Seed, uint64(m.options.Own.Life)))
-	begun := time.Now()
+	grown := m.clock.Now() + policy.Micros(young.Microseconds())
 	for wait := time.Duration(0); ; wait = askEvery/2 + time.Duration(rng.Int64N(int64(askEvery))) {
 		select {
 		case <-m.done:
 			return
-		case <-time.After(wait):
+		case <-time.After(m.clock.Real(wait)):
 		}
 		m.mu.Lock()
 		m.table.Forget(m.clock.Now())
 		all := m.table.Ask(m.options.Join)
 		m.mu.Unlock()
-		if there := m.There(); time.Since(begun) < young && len(there) > 0 && (len(all) == 0 || rng.IntN(2) == 0) {
+		if there := m.There(); m.clock.Now() < grown && len(there) > 0 && (len(all) == 0 || rng.IntN(2) == 0) {
 			all = []netip.AddrPort{there[rng.IntN(len(there))].Addr}
 		}
 		if len(all) == 0 {
--- a/internal/fleet/transport/stream.go
+++ b/internal/fleet/transport/stream.go
@@ -26,7 +26,7 @@
 }
 
 func (w *Transport) stream(c *net.TCPConn) *stream {
-	c.SetDeadline(time.Now().Add(streamWait)) // whoever uses it may set another
+	c.SetDeadline(time.Now().Add(w.real(streamWait))) // whoever uses it may set another
 	w.open.Add(1)
 	w.count(func(n *Counts) { n.Streams++ })
 	return &stream{Conn: c, of: w}
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -29,6 +29,7 @@
 	Listen, Advertise netip.AddrPort
 	Life              LifeID
 	Pace              int // bytes a second of datagrams that it sends; past that they are dropped
+	Slow              int // by this factor all times here are longer; 0: none. A laboratory's, where many nodes share few cores
 }
 
 // Counts are what has become of frames so far.
@@ -110,6 +111,7 @@
 		return nil, err
 	}
 	udp.SetReadBuffer(readBuffer) // best effort: the kernel may give less
+	o.Slow = max(1, o.Slow)
 	return &Transport{options: o, seal: seal(o.Fleet), log: log, udp: udp, tcp: tcp, began: time.Now(), streams: make(chan net.Conn),
 		done: make(chan struct{}), senders: make(map[LifeID]*sender), bucket: float64(o.Pace) * burst.Seconds()}, nil
 }
@@ -147,7 +149,12 @@
 func (w *Transport) Life() LifeID { return w.options.Life }
 
 // now is this process's own clock, from the transport's start.
-func (w *Transport) now() time.Duration { return time.Since(w.began) }
+func (w *Transport) now() time.Duration { return time.Since(w.began) / time.Duration(w.options.Slow) }
+
+// real is how long a span takes in real time.
+func (w *Transport) real(span time.Duration) time.Duration {
+	return span * time.Duration(w.options.Slow)
+}
 
 // Send sends a datagram, if the pace allows. It does not wait for anybody. Membership goes before everything else: it may
 // use the pace to its end, the others leave an eighth of it.
@@ -291,7 +298,7 @@
 		s := w.stream(c)
 		select {
 		case w.streams <- s:
-		case <-time.After(time.Second): // nobody takes streams
+		case <-time.After(w.real(time.Second)): // nobody takes streams
 			s.Close()
 		case <-w.done:
 			s.Close()
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -33,6 +33,8 @@
 	Wires() *relay.Relay
 	// Usage is the processor time used so far in seconds and the resident memory in MB; 0 where nodes share a process.
 	Usage(place int) (seconds, mb float64)
+	// Slow is by how much all clocks of the run are slowed; 1: real time.
+	Slow() int
 	Close() error
 }
 
@@ -53,16 +55,17 @@
 	nodes  []*hollow
 	called int           // services that a node calls
 	keep   time.Duration // members that are gone; 0: as usual
+	slow   int
 	seed   uint64
 }
 
-// NewHollow opens the relay for so many.
-func NewHollow(nodes, called int, keep time.Duration, seed uint64) (*HollowCluster, error) {
+// NewHollow opens the relay for so many, with all clocks slowed by a factor.
+func NewHollow(nodes, called int, keep time.Duration, slow int, seed uint64) (*HollowCluster, error) {
 	r, err := relay.New(nodes, seed)
 	if err != nil {
 		return nil, err
 	}
-	c := &HollowCluster{relay: r, called: called, keep: keep, seed: seed}
+	c := &HollowCluster{relay: r, called: called, keep: keep, slow: max(1, slow), seed: seed}
 	for range nodes {
 		c.nodes = append(c.nodes, &hollow{})
 	}
@@ -72,6 +75,7 @@
 func (c *HollowCluster) Size() int                    { return len(c.nodes) }
 func (c *HollowCluster) Wires() *relay.Relay          { return c.relay }
 func (c *HollowCluster) Usage(int) (float64, float64) { return 0, 0 }
+func (c *HollowCluster) Slow() int                    { return c.slow }
 
 // services is how many there are.
 func services(nodes int) int { return max(1, (nodes+perService-1)/perService) }
@@ -126,7 +130,7 @@
 	if err != nil {
 		return err
 	}
-	clock := node.NewClock()
+	clock := node.NewSlowedClock(c.slow)
 	n := node.New(node.Options{MostOpen: 1000}, conf.Rules.NewNode(conf.Seed), clock, zerolog.Nop())
 	list := &node.List{Form: policy.ListWhole}
 	h.list = servers(place, len(c.nodes), c.called)
@@ -189,7 +193,7 @@
 
 // Agree is Cluster's.
 func (c *HollowCluster) Agree(ctx context.Context, places []int, most time.Duration) (time.Duration, error) {
-	begun := time.Now()
+	begun, slow := time.Now(), time.Duration(c.slow)
 	want := make(map[transport.LifeID]bool, len(places))
 	for _, place := range places {
 		if f := c.fleetOf(place); f != nil {
@@ -204,7 +208,7 @@
 				wrong++
 			}
 		}
-		took := time.Since(begun)
+		took := time.Since(begun) / slow
 		if wrong == 0 {
 			return took, nil
 		}
@@ -214,7 +218,7 @@
 		select {
 		case <-ctx.Done():
 			return took, ctx.Err()
-		case <-time.After(50 * time.Millisecond):
+		case <-time.After(50 * time.Millisecond * slow):
 		}
 	}
 }
@@ -233,15 +237,16 @@
 }
 
 // Calls draws the ends of pushes at callRate a second a node, until ctx is done. Pushes to a silent server time out after a
-// second.
+// second. Both are of the cluster's clock.
 func (c *HollowCluster) Calls(ctx context.Context, silent func(policy.ServerID) bool) {
 	const beat, wait = 50 * time.Millisecond, time.Second
+	slow := time.Duration(c.slow)
 	var all sync.WaitGroup
 	for i, h := range c.nodes {
 		all.Go(func() {
 			rng := rand.New(rand.NewPCG(c.seed, uint64(i)))
-			time.Sleep(time.Duration(rng.Int64N(int64(beat))))
-			ticker := time.NewTicker(beat)
+			time.Sleep(slow * time.Duration(rng.Int64N(int64(beat))))
+			ticker := time.NewTicker(slow * beat)
 			defer ticker.Stop()
 			type push struct {
 				server policy.ServerID
@@ -267,7 +272,7 @@
 					s := h.list[rng.IntN(len(h.list))]
 					f.Sent(s, 0)
 					if silent(s) {
-						out = append(out, push{s, now.Add(wait)})
+						out = append(out, push{s, now.Add(slow * wait)})
 						continue
 					}
 					f.Ended(s, 0, policy.Acked, policy.Micros(3000+rng.IntN(4000)))
--- a/internal/lab/scale/members.go
+++ b/internal/lab/scale/members.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"canvasrouter/internal/fleet/members"
 	"canvasrouter/internal/lab/scenario"
 	"canvasrouter/internal/lab/together"
 	"canvasrouter/internal/standin/relay"
@@ -31,6 +32,7 @@
 func (c *RealCluster) Wires() *relay.Relay   { return c.Relay }
 func (c *RealCluster) Kill(place int) error  { return c.Signal(place, syscall.SIGKILL) }
 func (c *RealCluster) Start(place int) error { return c.Processes.Start(place) }
+func (c *RealCluster) Slow() int             { return 1 }
 
 // Usage is Cluster's.
 func (c *RealCluster) Usage(place int) (seconds, mb float64) {
@@ -48,18 +50,18 @@
 	// KeepScaled and cutScaled are an hour's cut against the ten minutes that members are kept, both by one factor of 120.
 	KeepScaled = 5 * time.Second
 	cutScaled  = 30 * time.Second
-	// mostAtOnce start together; more come by batches.
-	mostAtOnce = 300
-	batch      = 60
-	batchEvery = 4 * time.Second
+	// calmLeast is the least time over which calm is told: the operators count in a calm minute.
+	calmLeast = time.Minute
 	// cutShare is the smaller of two regions.
 	cutShare = 0.4
 )
 
-// traffic samples what all nodes have sent and been sent, and how late this process's own timers are.
+// traffic samples what all nodes have sent and been sent, each second of the cluster's clock, and how late this process's own
+// timers are.
 type traffic struct {
 	relay *relay.Relay
 	nodes int
+	slow  time.Duration
 	lag   *together.Lag
 	stop  chan struct{}
 	over  sync.WaitGroup
@@ -68,9 +70,9 @@
 }
 
 func watch(c Cluster) *traffic {
-	t := &traffic{relay: c.Wires(), nodes: c.Size(), lag: together.NewLag(), stop: make(chan struct{})}
+	t := &traffic{relay: c.Wires(), nodes: c.Size(), slow: time.Duration(c.Slow()), lag: together.NewLag(), stop: make(chan struct{})}
 	t.over.Go(func() {
-		ticker := time.NewTicker(time.Second)
+		ticker := time.NewTicker(time.Second * t.slow)
 		defer ticker.Stop()
 		for {
 			t.sample()
@@ -101,6 +103,7 @@
 	t.over.Wait()
 	t.sample()
 	late, lateMean = t.lag.End()
+	late, lateMean = late/t.slow, lateMean/t.slow
 	last := len(t.bytes) - 1
 	mean = (t.bytes[last] - t.bytes[0]) / float64(max(1, last))
 	span := int(window / time.Second)
@@ -137,11 +140,42 @@
 // mostLate makes a play void: this process's own timers were later than that in the mean, so that figures of time are the machine's.
 const mostLate = 20 * time.Millisecond
 
-// Members plays one size: joining, calm, a tenth killed, a zone lost, a region cut and back.
+// startSpread starts some places one after another, evenly over a span of the cluster's clock. Danger: nodes that start together
+// exchange all they know together for as long as they live, and ten seconds hold all of it or nothing.
+func startSpread(ctx context.Context, c Cluster, places []int, span time.Duration) error {
+	errs := make([]error, len(places))
+	var all sync.WaitGroup
+	begun := time.Now()
+	for i, place := range places {
+		due := begun.Add(real(c, span) * time.Duration(i) / time.Duration(len(places)))
+		if wait(ctx, time.Until(due)); ctx.Err() != nil {
+			break
+		}
+		all.Go(func() { errs[i] = c.Start(place) })
+	}
+	all.Wait()
+	return errors.Join(append(errs, ctx.Err())...)
+}
+
+// real is how long a span of the cluster's clock takes.
+func real(c Cluster, span time.Duration) time.Duration { return span * time.Duration(c.Slow()) }
+
+// rest waits for a span of the cluster's clock.
+func rest(ctx context.Context, c Cluster, span time.Duration) { wait(ctx, real(c, span)) }
+
+// whole is the least number of whole spans between two exchanges of all that is known, that lasts for a calm minute and for least.
+func whole(nodes int, least time.Duration) time.Duration {
+	every := members.ExchangeEvery(nodes)
+	return (max(least, calmLeast) + every - 1) / every * every
+}
+
+// Members plays one size: nodes that come one after another, calm, a tenth killed, a zone lost, a region cut and back, and all killed
+// and started at once. All times are of the cluster's clock.
 func Members(ctx context.Context, c Cluster, calm time.Duration, tell Progress) (p Point, err error) {
 	n := c.Size()
-	p = Point{Nodes: n, Values: map[string]float64{}}
+	p = Point{Nodes: n, Values: map[string]float64{}, Slowed: c.Slow()}
 	all := span(0, n)
+	calm = whole(n, calm)
 	var lateMean time.Duration
 	measure := func(name string, do func() error) {
 		if err != nil {
@@ -167,19 +201,17 @@
 			tell("%d nodes, %s: %d agree after %v", n, name, len(places), took.Round(10*time.Millisecond))
 		}
 	}
-	if n > mostAtOnce {
-		// So many young nodes at once, each with its exchange a second, are more than one machine's cores: they join by batches, and what
-		// joining at once costs is not measured.
-		for from := 0; from < n && err == nil; from += batch {
-			err = startAll(c, all[from:min(n, from+batch)])
-			wait(ctx, batchEvery)
+	killAll := func(places []int) error {
+		for _, place := range places {
+			if err := c.Kill(place); err != nil {
+				return err
+			}
 		}
-		agree("", all)
-		wait(ctx, settle)
-	} else if err = startAll(c, all); err == nil {
-		measure("join", func() error { agree("join", all); wait(ctx, settle); return err })
+		return nil
 	}
-	if err != nil {
+	err = startSpread(ctx, c, all, members.ExchangeEvery(n))
+	agree("", all)
+	if rest(ctx, c, settle); err != nil {
 		return p, err
 	}
 	before := make([]float64, n)
@@ -193,7 +225,7 @@
 		return sum / float64(n)
 	}
 	sent := datagrams()
-	measure("calm", func() error { wait(ctx, calm); return err })
+	measure("calm", func() error { rest(ctx, c, calm); return err })
 	p.Values["calm_datagrams"] = round((datagrams() - sent) / calm.Seconds())
 	cpu, mb := 0.0, 0.0
 	for i := range all {
@@ -206,20 +238,18 @@
 	}
 	kill := func(name string, from int) {
 		measure(name, func() error {
-			for _, place := range all[from:] {
-				if err := c.Kill(place); err != nil {
-					return err
-				}
+			if err := killAll(all[from:]); err != nil {
+				return err
 			}
 			agree(name, all[:from])
-			wait(ctx, window/2)
+			rest(ctx, c, window/2)
 			return err
 		})
 		if err == nil {
 			err = startAll(c, all[from:])
 		}
 		agree("", all)
-		wait(ctx, settle)
+		rest(ctx, c, settle)
 	}
 	kill("killed", n-max(1, n/10))
 	kill("zone", n-max(1, n/zones))
@@ -230,19 +260,30 @@
 		begun := time.Now()
 		agree("", all[:small])
 		if err == nil {
-			p.Values["cut_small_s"] = round(time.Since(begun).Seconds())
+			p.Values["cut_small_s"] = round(time.Since(begun).Seconds() / float64(c.Slow()))
 		}
 		agree("", all[small:])
 		if err == nil {
-			p.Values["cut_large_s"] = round(time.Since(begun).Seconds())
+			p.Values["cut_large_s"] = round(time.Since(begun).Seconds() / float64(c.Slow()))
 		}
-		wait(ctx, cutScaled-time.Since(begun))
+		wait(ctx, real(c, cutScaled)-time.Since(begun))
 		return err
 	})
 	measure("healed", func() error {
 		c.Wires().End(cut)
 		agree("healed", all)
-		wait(ctx, window)
+		rest(ctx, c, window)
+		return err
+	})
+	if err == nil {
+		err = killAll(all)
+	}
+	measure("join", func() error {
+		if err := startAll(c, all); err != nil {
+			return err
+		}
+		agree("join", all)
+		rest(ctx, c, window/2)
 		return err
 	})
 	if late := lateMean; late > mostLate {
@@ -251,17 +292,17 @@
 	return p, err
 }
 
-// Judgements plays one size: calls with nothing wrong, then a tenth of all servers silent, for so long each.
+// Judgements plays one size: calls with nothing wrong, then a tenth of all servers silent, for so long each, on the cluster's clock.
 func Judgements(ctx context.Context, c *HollowCluster, calm time.Duration, tell Progress) (p Point, err error) {
 	n := c.Size()
-	p = Point{Nodes: n, Values: map[string]float64{}}
-	if err = startAll(c, span(0, n)); err != nil {
+	p = Point{Nodes: n, Values: map[string]float64{}, Slowed: c.Slow()}
+	if err = startSpread(ctx, c, span(0, n), members.ExchangeEvery(n)); err != nil {
 		return p, err
 	}
 	if _, err = c.Agree(ctx, span(0, n), mostAgree); err != nil {
 		return p, err
 	}
-	wait(ctx, settle)
+	rest(ctx, c, settle)
 	calls, stop := context.WithCancel(ctx)
 	var over sync.WaitGroup
 	var mu sync.Mutex
@@ -273,7 +314,7 @@
 	}
 	over.Go(func() { c.Calls(calls, silent) })
 	defer func() { stop(); over.Wait() }()
-	wait(ctx, 2*time.Second)
+	rest(ctx, c, 2*time.Second)
 	judged := func() (bytes float64) {
 		for i := range n {
 			if f := c.fleetOf(i); f != nil {
@@ -286,13 +327,14 @@
 	phase := func(name string) (worst float64) {
 		t := watch(c)
 		begun, at, seen := time.Now(), judged(), 0.0
-		for time.Since(begun) < calm && ctx.Err() == nil {
-			wait(ctx, 100*time.Millisecond)
+		passed := func() float64 { return time.Since(begun).Seconds() / float64(c.Slow()) }
+		for passed() < calm.Seconds() && ctx.Err() == nil {
+			rest(ctx, c, 100*time.Millisecond)
 			if share := c.lowered(silent); name == "fault" && seen == 0 && share >= 0.9 {
-				seen = time.Since(begun).Seconds()
+				seen = passed()
 			}
 		}
-		bytes := (judged() - at) / time.Since(begun).Seconds()
+		bytes := (judged() - at) / passed()
 		_, _, late, lag := t.end()
 		p.Values[name+"_bytes"] = round(bytes)
 		if name == "fault" {
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -164,7 +164,7 @@
 			spread = max(spread, (most-least)/mean)
 		}
 	}
-	slope = fmt.Sprintf("%s, off by %.0f%% at most; spread of plays %.0f%%; sizes %s", fit.Form, 100*fit.Worst, 100*spread, list(sizes))
+	slope = fmt.Sprintf("%s, off by %.0f%% at most; spread of plays %.0f%%; sizes %s", fit.Form, 100*fit.Worst, 100*spread, list(sizes)) + r.slowed()
 	if mean, _, _, plays := r.At(c.name, nodes); plays > 0 {
 		return mean, true, slope, true
 	}
@@ -179,6 +179,19 @@
 	return strings.Join(all, ", ")
 }
 
+// slowed tells the sizes that were played on slowed clocks, and by what factor.
+func (r *Record) slowed() (told string) {
+	for _, n := range r.Sizes(func(int) bool { return true }) {
+		for _, p := range r.Points {
+			if p.Nodes == n && p.Slowed > 1 && p.Void == "" {
+				told += fmt.Sprintf("; %d on clocks slowed by %d", n, p.Slowed)
+				break
+			}
+		}
+	}
+	return told
+}
+
 // Table is the page's table, in Markdown.
 func (p *Page) Table() string {
 	var b strings.Builder
--- a/internal/lab/scale/record.go
+++ b/internal/lab/scale/record.go
@@ -30,7 +30,6 @@
 	Kind        string       `json:"kind"`
 	Command     string       `json:"command"` // gives the figures again
 	Cores       int          `json:"cores"`   // of the machine
-	Slowed      float64      `json:"slowed"`  // all clocks of the run, by this factor; 1: real time
 	Points      []Point      `json:"points"`
 	Predictions []Prediction `json:"predictions,omitempty"`
 }
@@ -40,7 +39,8 @@
 	Nodes  int                `json:"nodes"`
 	Play   int                `json:"play"`
 	Values map[string]float64 `json:"values"`
-	Void   string             `json:"void,omitempty"` // why it does not count
+	Slowed int                `json:"slowed,omitempty"` // all clocks of the play, by this factor; 0 and 1: real time
+	Void   string             `json:"void,omitempty"`   // why it does not count
 }
 
 // Prediction is what smaller sizes gave for a larger one, written down before it was played.
@@ -55,7 +55,7 @@
 
 // Load reads a record; one that is not there yet is empty. A fault is one line that names the file.
 func Load(dir, role, kind string) (*Record, error) {
-	r := &Record{Role: role, Kind: kind, Slowed: 1}
+	r := &Record{Role: role, Kind: kind}
 	path := file(dir, role, kind)
 	raw, err := os.ReadFile(path)
 	if errors.Is(err, fs.ErrNotExist) {
@@ -71,12 +71,12 @@
 	if err := json.Unmarshal(raw, r); err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	if r.Role == "" || r.Kind != Real && r.Kind != Hollow || !(r.Slowed >= 1) {
-		return fmt.Errorf("%s: no record: role %q, kind %q, slowed %v", path, r.Role, r.Kind, r.Slowed)
+	if r.Role == "" || r.Kind != Real && r.Kind != Hollow {
+		return fmt.Errorf("%s: no record: role %q, kind %q", path, r.Role, r.Kind)
 	}
 	for _, p := range r.Points {
-		if p.Nodes < 1 || p.Void == "" && len(p.Values) == 0 {
-			return fmt.Errorf("%s: a point of %d nodes has no values", path, p.Nodes)
+		if p.Nodes < 1 || p.Slowed < 0 || p.Void == "" && len(p.Values) == 0 {
+			return fmt.Errorf("%s: a point of %d nodes, clocks slowed by %d, has no values", path, p.Nodes, p.Slowed)
 		}
 	}
 	return nil
--- a/internal/lab/scale/record_test.go
+++ b/internal/lab/scale/record_test.go
@@ -9,7 +9,7 @@
 )
 
 func made(of func(n float64) float64) *Record {
-	r := &Record{Role: "members", Kind: Hollow, Slowed: 1}
+	r := &Record{Role: "members", Kind: Hollow}
 	for _, n := range []int{25, 50, 100, 200} {
 		for play := 1; play <= 3; play++ {
 			noise := 1 + 0.03*float64(play-2)
@@ -52,7 +52,7 @@
 // Records come back as they were saved; two runs that save side by side lose nothing; a broken one is one line that names its file.
 func TestRecords(t *testing.T) {
 	dir := t.TempDir()
-	one, other := made(func(float64) float64 { return 5 }), &Record{Role: "members", Kind: Hollow, Slowed: 1}
+	one, other := made(func(float64) float64 { return 5 }), &Record{Role: "members", Kind: Hollow}
 	other.Add(Point{Nodes: 400, Play: 1, Values: map[string]float64{"calm_bytes": 7}})
 	other.Add(Point{Nodes: 400, Play: 2, Void: "late"})
 	for _, r := range []*Record{one, other} {
@@ -70,9 +70,10 @@
 	if mean, _, _, plays := got[0].At("calm_bytes", 400); mean != 7 || plays != 1 {
 		t.Errorf("a void play counts: %v of %d", mean, plays)
 	}
-	for name, raw := range map[string]string{"members-real.json": `{"role": "members"`, "list-real.json": `{"role":"list","kind":"real"}`,
-		"path-real.json":  `{"role":"path","kind":"real","slowed":1,"points":[{"nodes":0}]}`,
-		"start-real.json": `{"role":"path","kind":"real","slowed":1}`} {
+	for name, raw := range map[string]string{"members-real.json": `{"role": "members"`, "list-real.json": `{"role":"list","kind":"some"}`,
+		"path-real.json":    `{"role":"path","kind":"real","points":[{"nodes":0}]}`,
+		"changes-real.json": `{"role":"changes","kind":"real","points":[{"nodes":5,"slowed":-1,"values":{"all_s":1}}]}`,
+		"start-real.json":   `{"role":"path","kind":"real"}`} {
 		bad := t.TempDir()
 		if err := os.WriteFile(filepath.Join(bad, name), []byte(raw), 0o600); err != nil {
 			t.Fatal(err)
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -18,15 +18,20 @@
 	start time.Time
 	base  policy.Micros
 	still bool // simulated time: base moves by Set alone
+	slow  int  // how much longer a span of this clock takes in real time
 }
 
-func NewClock() *Clock {
+func NewClock() *Clock { return NewSlowedClock(1) }
+
+// NewSlowedClock makes a clock on which a second takes so many. Many nodes in one process may need more than the machine's
+// cores in real time; all that waits by the clock (Until, Real) then waits longer by the same factor.
+func NewSlowedClock(slow int) *Clock {
 	now := time.Now()
-	return &Clock{start: now, base: policy.Micros(now.UnixMicro())}
+	return &Clock{start: now, base: policy.Micros(now.UnixMicro()), slow: max(1, slow)}
 }
 
 // NewSimulatedClock makes a clock that stands at a moment until Set.
-func NewSimulatedClock(at policy.Micros) *Clock { return &Clock{base: at, still: true} }
+func NewSimulatedClock(at policy.Micros) *Clock { return &Clock{base: at, still: true, slow: 1} }
 
 // Set moves a simulated clock. The caller's goroutine is the only one that may read it.
 func (c *Clock) Set(at policy.Micros) { c.base = at }
@@ -35,14 +40,17 @@
 	if c.still {
 		return c.base
 	}
-	return c.base + policy.Micros(time.Since(c.start).Microseconds())
+	return c.base + policy.Micros(time.Since(c.start).Microseconds()/int64(c.slow))
 }
 
-// Until is the time left to a moment of the module's.
+// Until is the real time left to a moment of the module's.
 func (c *Clock) Until(at policy.Micros) time.Duration {
-	return time.Duration(at-c.Now()) * time.Microsecond
+	return c.Real(time.Duration(at-c.Now()) * time.Microsecond)
 }
 
+// Real is how long a span of this clock takes in real time.
+func (c *Clock) Real(span time.Duration) time.Duration { return span * time.Duration(c.slow) }
+
 // Request is what goes on to a server, as it came.
 type Request struct {
 	Method, Target, Host string // Target is the path and query, byte for byte
