canvaslab scale view: what a look at one node costs at many sizes

A row of the capacity page said "not measured". The page's row stands without records until they are played.

--- a/cmd/canvaslab/scale.go
+++ b/cmd/canvaslab/scale.go
@@ -15,7 +15,7 @@
 )
 
 type scaleCommand struct {
-	Role   string        `arg:"" help:"What is measured: members, judgements, changes, list, start or path." enum:"members,judgements,changes,list,start,path"`
+	Role   string        `arg:"" help:"What is measured: members, judgements, view, changes, list, start or path." enum:"members,judgements,view,changes,list,start,path"`
 	Nodes  []int         `help:"Sizes, one after another." default:"25,50,100"`
 	Plays  int           `help:"Plays of each size." default:"3"`
 	First  int           `help:"Number of the first play: records keep one of each size and number." default:"1"`
@@ -50,8 +50,8 @@
 	if s.Plays < 1 || s.Plays > 10 || s.First < 1 || s.Calm < time.Second || s.Calm > time.Minute || s.Called < 1 {
 		return errors.New("--plays is from 1 to 10, --first and --called at least 1, --calm from 1s to 1m")
 	}
-	if slowed := s.Role == "members" || s.Role == "judgements"; s.Slow < 1 || s.Slow > mostSlow || s.Slow > 1 && (!slowed || kind == scale.Real) {
-		return fmt.Errorf("--slow is from 1 to %d, for hollow members and judgements alone", mostSlow)
+	if slowed := s.Role == "members" || s.Role == "judgements" || s.Role == "view"; s.Slow < 1 || s.Slow > mostSlow || s.Slow > 1 && (!slowed || kind == scale.Real) {
+		return fmt.Errorf("--slow is from 1 to %d, for hollow members, judgements and view alone", mostSlow)
 	}
 	name := s.Role
 	if s.Called != 5 {
@@ -129,5 +129,8 @@
 		}
 		return scale.Judgements(ctx, of, s.Calm, tell)
 	}
+	if s.Role == "view" {
+		return scale.Views(ctx, c, tell)
+	}
 	return scale.Members(ctx, c, s.Calm, tell)
 }
--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -33,6 +33,8 @@
 	Wires() *relay.Relay
 	// Usage is the processor time used so far in seconds and the resident memory in MB; 0 where nodes share a process.
 	Usage(place int) (seconds, mb float64)
+	// View is what a node knows, as operators look at it.
+	View(ctx context.Context, place int) (*fleet.View, error)
 	// Slow is by how much all clocks of the run are slowed; 1: real time.
 	Slow() int
 	Close() error
@@ -184,6 +186,14 @@
 	return nil
 }
 
+// View is Cluster's. Hollow nodes have no socket to ask.
+func (c *HollowCluster) View(_ context.Context, place int) (*fleet.View, error) {
+	if f := c.fleetOf(place); f != nil {
+		return f.View(), nil
+	}
+	return nil, fmt.Errorf("node %d is not there", place)
+}
+
 func (c *HollowCluster) fleetOf(place int) *fleet.Fleet {
 	h := c.nodes[place]
 	h.mu.Lock()
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -115,7 +115,12 @@
 			{column: "in force", what: "the smaller side agrees", record: "members", kind: Hollow, name: "cut_small_s", unit: "s"},
 			{column: "in force", what: "all agree when it is back", record: "members", kind: Hollow, name: "healed_s", unit: "s"},
 		}},
-	{role: "Operators' view", state: "N members, reports on 8 x C servers", mechanism: "`canvasrouter fleet`, a node at a time", missing: "not measured at this size"},
+	{role: "Operators' view", state: "N members, reports on 8 x C servers", mechanism: "`canvasrouter fleet`, a node at a time, on its own socket: nothing of it goes between nodes",
+		command: "canvaslab scale view --nodes 25,50,100,200,400,900 (hollow); --nodes 25,50,100 --node bin/canvasrouter (real)",
+		cells: []cell{
+			{column: "bytes", what: "a look at one node", record: "view", kind: Hollow, name: "view_bytes", unit: "bytes"},
+			{column: "in force", what: "a look at one process", record: "view", kind: Real, name: "view_ms", unit: "ms"},
+		}, missing: "all nodes in one look: there is none"},
 }
 
 // Page works the table out from records.
@@ -299,7 +304,7 @@
 			continue
 		}
 		for _, n := range real.Sizes(func(int) bool { return true }) {
-			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s", "burst_bytes", "all_s"} {
+			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s", "burst_bytes", "all_s", "view_bytes"} {
 				a, _, _, plays := real.At(name, n)
 				z, _, _, others := hollow.At(name, n)
 				if plays > 0 && others > 0 && a > 0 {
