A member that leaves is told as left whatever word comes first: its leaving is passed on by itself

Seen: TestMembers failed once in eight plays on a busy machine (load 50), "place 0 has not logged member has left"; its log has "member is dead" 0.5 s after SIGTERM. Checked: that word is what a member tells of itself, an update of its own on the library's gossip; where it is late, or another's suspicion is quicker, the library tells of a death and keeps to itself that the member left. Ruled out: the one that had just gone on; n3's own death.

Lines at fault: members.go, Leave and NotifyLeave: the order of two datagrams decided. Now a life that leaves says so in a message of its own, which each member passes on once in the same datagrams, and the table takes it in any order: a member found dead has left when the word comes, and is not asked for any more. The wait between the two is gone; who knows no such message goes by the update, as before.

--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"encoding/binary"
 	"fmt"
 	stdlog "log"
 	"math"
@@ -31,10 +32,7 @@
 	exchangeEvery = 5 * time.Second
 	// leaveWait is how long a node waits until its leaving has gone out.
 	leaveWait = 300 * time.Millisecond
-	// leavePause lies between the word that the node leaves and its going. Danger: each goes to a few at a time, who pass it on; who hears
-	// of the going first has the node as dead, and asks for it for ten minutes.
-	leavePause = 250 * time.Millisecond
-	packets    = 256 // that may wait to be worked
+	packets   = 256 // that may wait to be worked
 )
 
 // Options say who the node is and by whom it joins.
@@ -53,6 +51,7 @@
 	clock     *node.Clock
 	log       zerolog.Logger
 	list      *memberlist.Memberlist
+	leaving   memberlist.TransmitLimitedQueue // who leaves, to be passed on: each member once
 	packets   chan *memberlist.Packet
 	done      chan struct{}
 	over      sync.WaitGroup
@@ -73,6 +72,7 @@
 	}
 	w.Handle(transport.Membership, m.packet)
 	config := memberlist.DefaultLANConfig()
+	m.leaving.NumNodes, m.leaving.RetransmitMult = func() int { return len(m.There()) + 1 }, config.RetransmitMult
 	config.Name = id(o.Own.Name, o.Own.Life)
 	config.BindAddr, config.BindPort = o.Own.Addr.Addr().String(), int(o.Own.Addr.Port())
 	config.AdvertiseAddr, config.AdvertisePort = config.BindAddr, config.BindPort
@@ -111,13 +111,18 @@
 func (m *Members) Leave() {
 	m.left.Do(func() {
 		m.leaves.Store(true)
-		if err := m.list.UpdateNode(m.clock.Real(leaveWait)); err != nil {
+		word := &leaving{life: m.options.Own.Life, told: make(chan struct{})}
+		m.leaving.QueueBroadcast(word)
+		if err := m.list.UpdateNode(m.clock.Real(leaveWait)); err != nil { // members of versions that know no such word go by what it tells of itself
 			m.log.Debug().Err(err).Msg("that the node leaves was not told to all")
 		}
-		time.Sleep(m.clock.Real(leavePause))
 		if err := m.list.Leave(m.clock.Real(leaveWait)); err != nil {
 			m.log.Debug().Err(err).Msg("leaving was not told to all")
 		}
+		select {
+		case <-word.told:
+		case <-time.After(m.clock.Real(leaveWait)):
+		}
 	})
 }
 
@@ -278,10 +283,58 @@
 	return meta(&own)
 }
 
-func (d delegate) NotifyMsg([]byte)                {}
-func (d delegate) GetBroadcasts(int, int) [][]byte { return nil }
-func (d delegate) LocalState(bool) []byte          { return nil }
-func (d delegate) MergeRemoteState([]byte, bool)   {}
+func (d delegate) LocalState(bool) []byte        { return nil }
+func (d delegate) MergeRemoteState([]byte, bool) {}
+
+// GetBroadcasts gives who leaves, in what the library's own news has left of a datagram.
+func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.leaving.GetBroadcasts(overhead, limit)
+}
+
+// NotifyMsg takes in who leaves, and passes on what was not known.
+func (d delegate) NotifyMsg(b []byte) {
+	life, err := readLeaving(b)
+	if err != nil {
+		d.log.Debug().Err(err).Msg("a member's word is passed over")
+		return
+	}
+	news := false
+	d.tell(func(policy.Micros) (changes []Change) {
+		changes, news = d.table.Leaves(life)
+		return changes
+	})
+	if news { // Danger: the queue asks for the members under its own lock, so it is not told under theirs
+		d.leaving.QueueBroadcast(&leaving{life: life})
+	}
+}
+
+// leaving is the word that a life leaves, on its way.
+type leaving struct {
+	life transport.LifeID
+	told chan struct{} // closed when it has gone out often enough; nil: nobody waits
+}
+
+const leavingVersion = 1
+
+func (l *leaving) Message() []byte {
+	return binary.BigEndian.AppendUint64([]byte{leavingVersion}, uint64(l.life))
+}
+
+func (l *leaving) Invalidates(memberlist.Broadcast) bool { return false }
+
+func (l *leaving) Finished() {
+	if l.told != nil {
+		close(l.told)
+	}
+}
+
+// readLeaving takes the word apart. A newer version may have more behind.
+func readLeaving(b []byte) (transport.LifeID, error) {
+	if len(b) < 9 || b[0] < leavingVersion {
+		return 0, errMeta
+	}
+	return transport.LifeID(binary.BigEndian.Uint64(b[1:])), nil
+}
 
 // events are the library's, told under its lock.
 type events struct{ *Members }
@@ -294,11 +347,12 @@
 	if err != nil {
 		return
 	}
-	how := Dead
-	if of.leaves { // the library has it as well, and tells nobody
-		how = Left
-	}
-	e.tell(func(now policy.Micros) []Change { return e.table.Gone(now, of.Life, how) })
+	e.tell(func(now policy.Micros) []Change {
+		if of.leaves { // the library has it as well, and tells nobody
+			e.table.Leaves(of.Life)
+		}
+		return e.table.Gone(now, of.Life)
+	})
 }
 
 // quiet writes the library's lines at debug level: what matters in them is told by changes.
--- /dev/null
+++ b/internal/fleet/members/members_test.go
@@ -0,0 +1,88 @@
+package members
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/fleet/transport"
+	"canvasrouter/internal/node"
+)
+
+func started(t *testing.T, name string, number int, join ...netip.AddrPort) *Members {
+	t.Helper()
+	var err error
+	for range 20 { // a port that is free for streams may be taken for datagrams
+		var probe net.Listener
+		if probe, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			t.Fatal(err)
+		}
+		at := probe.Addr().(*net.TCPAddr).AddrPort()
+		probe.Close()
+		own := Member{Name: name, Life: transport.LifeID(number + 1), Number: number, Addr: at}
+		var way *transport.Transport
+		if way, err = transport.Open(transport.Options{Fleet: "test", Listen: at, Advertise: at, Life: own.Life, Pace: 1 << 16}, zerolog.Nop()); err != nil {
+			continue
+		}
+		m, err := Start(Options{Own: own, Nodes: 3, Join: join}, way, node.NewClock(), zerolog.Nop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		way.Run()
+		t.Cleanup(func() { m.Close(); way.Close() })
+		return m
+	}
+	t.Fatal(err)
+	return nil
+}
+
+// state is what a member knows of another, or "unknown".
+func (m *Members) state(name string) string {
+	_, all := m.View()
+	for _, o := range all {
+		if o.Name == name {
+			return o.State.String()
+		}
+	}
+	return "unknown"
+}
+
+func (m *Members) becomes(t *testing.T, name, want string) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); m.state(name) != want; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s has %s as %s, not %s", m.options.Own.Name, name, m.state(name), want)
+		}
+	}
+}
+
+// One that leaves is told as left also where word of its going is there before its word that it leaves, and hears of it by others.
+func TestLeftWhateverComesFirst(t *testing.T) {
+	a := started(t, "a", 0)
+	b := started(t, "b", 1, a.options.Own.Addr)
+	c := started(t, "c", 2, a.options.Own.Addr)
+	for _, m := range []*Members{a, b, c} {
+		for _, name := range []string{"a", "b", "c"} {
+			if name != m.options.Own.Name {
+				m.becomes(t, name, "alive")
+			}
+		}
+	}
+	if err := b.list.Leave(time.Second); err != nil {
+		t.Fatal(err)
+	}
+	a.becomes(t, "b", "dead")
+	c.becomes(t, "b", "dead")
+	(delegate{a}).NotifyMsg((&leaving{life: b.options.Own.Life}).Message()) // a alone hears b's own word
+	a.becomes(t, "b", "left")
+	c.becomes(t, "b", "left")
+	c.Leave()
+	a.becomes(t, "c", "left")
+	if s := fmt.Sprint(a.There()); s != "[]" {
+		t.Errorf("there are %s", s)
+	}
+}
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -115,7 +115,7 @@
 		known.State = Dead
 	}
 	was := *known
-	m.joined, m.Since = was.joined, was.Since
+	m.joined, m.Since, m.leaves = was.joined, was.Since, m.leaves || was.leaves
 	if m.State != was.State || m.Since == 0 {
 		m.Since = now
 	}
@@ -178,15 +178,33 @@
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
 }
 
-// Gone says that a member has left or was found dead.
-func (t *Table) Gone(now policy.Micros, life transport.LifeID, how State) []Change {
+// Gone says that a member was found dead, or has left if it said so.
+func (t *Table) Gone(now policy.Micros, life transport.LifeID) []Change {
 	m := t.members[life]
 	if m == nil || !m.State.there() {
 		return nil
 	}
-	m.State, m.Since = how, now
+	m.State, m.Since = Dead, now
+	if m.leaves {
+		m.State = Left
+	}
 	t.order(m.Number)
-	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[how], Member: *m}}
+	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[m.State], Member: *m}}
+}
+
+// Leaves says that a member has said that it leaves. News is whether that was not known of it: then it is passed on. Danger: word of
+// its going may come first, by another way, and who takes it for dead asks for it for as long as those gone are kept.
+func (t *Table) Leaves(life transport.LifeID) (changes []Change, news bool) {
+	m := t.members[life]
+	if m == nil || m.leaves {
+		return nil, false
+	}
+	m.leaves = true
+	if m.State == Dead {
+		m.State = Left
+		changes = append(changes, Change{Text: "member has left", Member: *m})
+	}
+	return changes, true
 }
 
 // Forget lets those go that are gone for long.
