--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -347,12 +347,8 @@
 	if err != nil {
 		return
 	}
-	e.tell(func(now policy.Micros) []Change {
-		if of.leaves { // the library has it as well, and tells nobody
-			e.table.Leaves(of.Life)
-		}
-		return e.table.Gone(now, of.Life)
-	})
+	// The library knows as well whether it said that it leaves, and tells nobody.
+	e.tell(func(now policy.Micros) []Change { return e.table.Gone(now, of.Life, of.leaves) })
 }
 
 // quiet writes the library's lines at debug level: what matters in them is told by changes.
--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -38,6 +38,7 @@
 	State  State
 	Since  policy.Micros // of this state, here
 	leaves bool          // it has said that it leaves
+	passed bool          // its word of that has come here, and was passed on
 	joined uint64        // counts joins, as seen here
 }
 
@@ -115,7 +116,7 @@
 		known.State = Dead
 	}
 	was := *known
-	m.joined, m.Since, m.leaves = was.joined, was.Since, m.leaves || was.leaves
+	m.joined, m.Since, m.leaves, m.passed = was.joined, was.Since, m.leaves || was.leaves, was.passed
 	if m.State != was.State || m.Since == 0 {
 		m.Since = now
 	}
@@ -178,28 +179,29 @@
 	return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
 }
 
-// Gone says that a member was found dead, or has left if it said so.
-func (t *Table) Gone(now policy.Micros, life transport.LifeID) []Change {
+// Gone says that a member was found dead, or has left if it said so, now or before.
+func (t *Table) Gone(now policy.Micros, life transport.LifeID, said bool) []Change {
 	m := t.members[life]
 	if m == nil || !m.State.there() {
 		return nil
 	}
 	m.State, m.Since = Dead, now
-	if m.leaves {
+	if m.leaves = m.leaves || said; m.leaves {
 		m.State = Left
 	}
 	t.order(m.Number)
 	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[m.State], Member: *m}}
 }
 
-// Leaves says that a member has said that it leaves. News is whether that was not known of it: then it is passed on. Danger: word of
-// its going may come first, by another way, and who takes it for dead asks for it for as long as those gone are kept.
+// Leaves says that a member's word has come that it leaves. News is whether it comes for the first time: then it is passed on, also where
+// what the member tells of itself has said as much. Danger: word of its going may come first, by another way, and who takes it for
+// dead asks for it for as long as those gone are kept.
 func (t *Table) Leaves(life transport.LifeID) (changes []Change, news bool) {
 	m := t.members[life]
-	if m == nil || m.leaves {
+	if m == nil || m.passed {
 		return nil, false
 	}
-	m.leaves = true
+	m.leaves, m.passed = true, true
 	if m.State == Dead {
 		m.State = Left
 		changes = append(changes, Change{Text: "member has left", Member: *m})
--- a/internal/fleet/members/table_test.go
+++ b/internal/fleet/members/table_test.go
@@ -32,13 +32,13 @@
 		{func() []Change { return table.Heard(1, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "member is there", 11},
 		{func() []Change { return table.Heard(2, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "", 11},
 		{func() []Change { return table.Heard(3, Member{Name: "n1", Life: 12, Number: 1, Addr: addr(2)}) }, "member is there; two processes have one name", 12},
-		{func() []Change { return table.Gone(4, 11) }, "member is dead", 12},
-		{func() []Change { return table.Gone(5, 11) }, "", 12},
+		{func() []Change { return table.Gone(4, 11, false) }, "member is dead", 12},
+		{func() []Change { return table.Gone(5, 11, false) }, "", 12},
 		{func() []Change { return table.Heard(6, Member{Name: "n2", Life: 13, Number: 1, Addr: addr(3)}) }, "member is there; two nodes have one number", 13},
 		{func() []Change { changes, _ := table.Leaves(13); return changes }, "", 13},
-		{func() []Change { return table.Gone(7, 13) }, "member has left", 12},
+		{func() []Change { return table.Gone(7, 13, false) }, "member has left", 12},
 		{func() []Change { return table.Heard(8, Member{Name: "n7", Life: 14, Number: 7, Addr: addr(4)}) }, "member is there; number passes the nodes that the settings tell of", 12},
-		{func() []Change { return table.Gone(9, 12) }, "member is dead", 0},
+		{func() []Change { return table.Gone(9, 12, false) }, "member is dead", 0},
 		{func() []Change { return table.Heard(10, Member{Name: "n1", Life: 11, Number: 1, Addr: addr(2)}) }, "member is back", 11},
 		{func() []Change { return table.Heard(11, Member{Name: "n0", Life: 15, Number: 0, Addr: addr(5)}) }, "member is there; two processes have one name", 11},
 		{func() []Change { return table.Heard(12, Member{Name: "n0", Life: 100, Number: 0, Addr: addr(1)}) }, "", 11}, // itself
@@ -55,7 +55,7 @@
 	if len(ask) != 1 || ask[0] != addr(9) {
 		t.Errorf("asks %v", ask)
 	}
-	table.Gone(20, 14)
+	table.Gone(20, 14, false)
 	if ask := table.Ask(nil); len(ask) != 1 || ask[0] != addr(4) {
 		t.Errorf("asks %v", ask)
 	}
@@ -68,7 +68,8 @@
 // Word that a member leaves and word of its going come in any order, and each is told once; nobody asks for one that left. What was
 // told of it before its word does not take that back.
 func TestLeavesInAnyOrder(t *testing.T) {
-	for name, order := range map[string]string{"as said": "lg", "gone first": "gl", "told anew between": "lhg", "twice": "llggl", "gone, back, gone": "ghlg"} {
+	for name, order := range map[string]string{"as said": "lg", "gone first": "gl", "told anew between": "lhg", "twice": "llggl", "gone, back, gone": "ghlg",
+		"told of itself before": "slg", "told of itself, gone": "sgl"} {
 		table := NewTable(Member{Name: "own", Life: 1, Addr: addr(1)}, 3)
 		of := Member{Name: "n1", Life: 2, Number: 1, Addr: addr(2)}
 		table.Heard(1, of)
@@ -82,7 +83,11 @@
 					news++
 				}
 			case 'g':
-				changes = table.Gone(policy.Micros(i+2), 2)
+				changes = table.Gone(policy.Micros(i+2), 2, false)
+			case 's':
+				says := of
+				says.leaves = true
+				changes = table.Heard(policy.Micros(i+2), says)
 			case 'h':
 				changes = table.Heard(policy.Micros(i+2), of)
 			}
@@ -112,7 +117,7 @@
 	if len(table.members) != mostMembers {
 		t.Errorf("%d members", len(table.members))
 	}
-	table.Gone(1, 1)
+	table.Gone(1, 1, false)
 	table.Heard(2, Member{Name: "new", Life: 1 << 41, Number: 5})
 	if len(table.members) != mostMembers || table.members[1<<41] == nil || table.members[1] != nil {
 		t.Errorf("%d members, the new one %v", len(table.members), table.members[1<<41])
