Tests: exchanges alone bring the word that a member left; passed on once

The fault "a word that one leaves ends here" was not seen any more either, as exchanges make it good; TestPassesOnOnce sees it.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -32,7 +32,7 @@
 		"words that came late count":           {"words/words.go", "case late > stale:", "case late < 0:", "internal/fleet/words", "TestWords"},
 		"the newest word is dropped":           {"words/words.go", "q.first = (q.first + 1) % mostQueued\n\t\tq.n--", "q.n--", "internal/fleet/words", "TestWords"},
 		"a number stays with who had it first": {"members/table.go", "cmp.Compare(b.joined, a.joined)", "cmp.Compare(a.joined, b.joined)", "internal/fleet/members", "TestTable"},
-		"a word that one leaves ends here":     {"members/members.go", "if news {", "if news && false {", "internal/fleet/members", "TestLeftWhateverComesFirst"},
+		"a word that one leaves ends here":     {"members/members.go", "if news {", "if news && false {", "internal/fleet/members", "TestPassesOnOnce"},
 		"who was found dead did not leave":     {"members/table.go", "if m.State == Dead {", "if false {", "internal/fleet/members", "TestLeavesInAnyOrder"},
 		"weights of drained servers change":    {"../node/peers.go", "e.State == policy.Ready && was != is", "was != is", "internal/node", "TestPeers"},
 		"weights look like a list that came":   {"../../policy/policy.go", "case !r.Ask || form == ListWeighed:", "case !r.Ask:", "policy", "TestWeighed"},
--- a/internal/fleet/members/members_test.go
+++ b/internal/fleet/members/members_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -81,6 +82,9 @@
 	(delegate{a}).NotifyMsg((&leaving{life: b.options.Own.Life}).Message()) // a alone hears b's own word
 	a.becomes(t, "b", "left")
 	c.becomes(t, "b", "left")
+	for a.leaving.NumQueued()+c.leaving.NumQueued() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
 	d := started(t, "d", 3, a.options.Own.Addr) // hears of b by exchanges alone: no word is on its way any more
 	d.becomes(t, "c", "alive")
 	d.tell(func(now policy.Micros) []Change {
@@ -96,3 +100,33 @@
 		t.Errorf("there are %s", s)
 	}
 }
+
+// A word that comes for the first time is passed on, whether by gossip or by an exchange, and once; exchanges tell it from then on.
+func TestPassesOnOnce(t *testing.T) {
+	m := &Members{table: NewTable(Member{Name: "own", Life: 1}, 3), clock: node.NewClock(), log: zerolog.Nop()}
+	m.leaving.NumNodes, m.leaving.RetransmitMult = func() int { return 3 }, 4
+	m.table.Heard(1, Member{Name: "n1", Life: 2, Number: 1})
+	m.table.Heard(1, Member{Name: "n2", Life: 3, Number: 2})
+	d := delegate{m}
+	if d.LocalState(false) != nil {
+		t.Error("an exchange tells of one that leaves, and none does")
+	}
+	for i, step := range []struct {
+		take   func()
+		queued int
+		told   []transport.LifeID
+	}{
+		{func() { d.NotifyMsg(leavingWord(2)) }, 1, []transport.LifeID{2}},
+		{func() { d.NotifyMsg(leavingWord(2)) }, 1, []transport.LifeID{2}},
+		{func() { d.MergeRemoteState(leavingWord(2, 3), false) }, 2, []transport.LifeID{2, 3}},
+		{func() { d.MergeRemoteState(nil, false) }, 2, []transport.LifeID{2, 3}},
+		{func() { d.NotifyMsg([]byte("spoilt")) }, 2, []transport.LifeID{2, 3}},
+		{func() { d.NotifyMsg(leavingWord(9)) }, 2, []transport.LifeID{2, 3}}, // nobody knows it
+	} {
+		step.take()
+		told, err := readLeaving(d.LocalState(false))
+		if n := m.leaving.NumQueued(); n != step.queued || err != nil || !slices.Equal(told, step.told) {
+			t.Errorf("step %d: %d to pass on, exchanges tell of %v, %v", i, n, told, err)
+		}
+	}
+}
