Scale: the list with real processes, and hollow nodes follow it as they do

Cause: hollow nodes had no grace of drains, by which a node beside pushed lists waits less (registry.most), and their calm began at an empty line and lost the last.

--- a/cmd/canvaslab/scale.go
+++ b/cmd/canvaslab/scale.go
@@ -94,6 +94,9 @@
 	tell := func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
 	switch s.Role {
 	case "list":
+		if kind == scale.Real {
+			return scale.ListReal(ctx, s.Node, nodes, s.Called, s.Calm, seed, tell)
+		}
 		return scale.List(ctx, nodes, s.Called, s.Calm, seed, tell)
 	case "changes":
 		return scale.Changes(ctx, s.Node, nodes, s.Calm, seed, tell)
--- a/internal/lab/scale/list.go
+++ b/internal/lab/scale/list.go
@@ -27,6 +27,9 @@
 	return fmt.Sprintf("one process, at most some %d MB", 200+2*largest+largest*largest/200)
 }
 
+// drainGrace is the deployment's, as processes of a scale run have it: watches that fail go by it.
+const drainGrace = 1500 * time.Millisecond
+
 // restarts is the share of the servers that a release restarts: 180 of 900.
 const restarts = 1.0 / zones
 
@@ -56,7 +59,7 @@
 		if err != nil {
 			return p, err
 		}
-		r := registry.New(registry.Options{Addr: addr, Zones: words.Zones, Kinds: words.Kinds, Unasked: true, Again: time.Second, Seed: seed + uint64(i)},
+		r := registry.New(registry.Options{Addr: addr, Zones: words.Zones, Kinds: words.Kinds, Unasked: true, Again: time.Second, Grace: drainGrace, Seed: seed + uint64(i)},
 			sockets.NewPart(4), zerolog.Nop())
 		over.Go(func() {
 			r.Run(follow, func(l *node.List) {
@@ -96,6 +99,7 @@
 	opened := until("first watches", 30*time.Second, func() bool { return follows() == nodes })
 	calls, bytes := service.Counts()
 	p.Values["opened_s"], p.Values["first_bytes"] = round(opened.Seconds()), round(float64(bytes)/float64(nodes))
+	wait(ctx, time.Second) // between two of the empty lines: all of those that come in the span are counted
 	wait(ctx, calm)
 	_, after := service.Counts()
 	p.Values["calm_bytes"] = round(float64(after-bytes) / float64(nodes) / calm.Seconds())
--- a/internal/lab/scale/page.go
+++ b/internal/lab/scale/page.go
@@ -304,7 +304,7 @@
 			continue
 		}
 		for _, n := range real.Sizes(func(int) bool { return true }) {
-			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s", "burst_bytes", "all_s", "view_bytes"} {
+			for _, name := range []string{"calm_bytes", "calm_datagrams", "killed_bytes10", "killed_s", "burst_bytes", "all_s", "view_bytes", "first_bytes", "restart_bytes", "down_calls_s"} {
 				a, _, _, plays := real.At(name, n)
 				z, _, _, others := hollow.At(name, n)
 				if plays > 0 && others > 0 && a > 0 {
--- a/internal/lab/scale/start.go
+++ b/internal/lab/scale/start.go
@@ -43,18 +43,24 @@
 	return nil
 }
 
-// ready waits until the node answers that it is ready, and then until an op is answered.
-func (p *process) ready(ctx context.Context, client *http.Client, most time.Duration) (ready, serves time.Duration, err error) {
+// listens waits until the node answers that it is ready.
+func (p *process) listens(ctx context.Context, client *http.Client, most time.Duration) (ready time.Duration, err error) {
 	for {
 		if response, err := client.Get("http://" + p.addr + "/-/ready"); err == nil {
 			response.Body.Close()
-			ready = time.Since(p.begun)
-			break
+			return time.Since(p.begun), nil
 		}
 		if wait(ctx, 5*time.Millisecond); ctx.Err() != nil || time.Since(p.begun) > most {
-			return 0, 0, fmt.Errorf("node at %s is not ready after %v: %s", p.addr, most, p.log.String())
+			return 0, fmt.Errorf("node at %s is not ready after %v: %s", p.addr, most, p.log.String())
 		}
 	}
+}
+
+// ready waits until the node answers that it is ready, and then until an op is answered.
+func (p *process) ready(ctx context.Context, client *http.Client, most time.Duration) (ready, serves time.Duration, err error) {
+	if ready, err = p.listens(ctx, client, most); err != nil {
+		return 0, 0, err
+	}
 	for n := 0; ; n++ {
 		q, err := http.NewRequest(http.MethodGet, "http://"+p.addr+"/call", nil)
 		if err != nil {
@@ -87,7 +93,7 @@
 		Categories: []scenario.Category{{Name: "call", Benefit: 1, Target: 500_000, TTL: 1_000_000, Repeat: "redeliverable"}},
 		Tiers:      []scenario.Tier{{Name: "front", Nodes: 1, Kinds: []scenario.Kind{{Name: "m", Count: len(addrs), IdleClose: 60_000_000}}}},
 		Limits: scenario.Limits{MaxPushes: 3, Dial: 100_000, Sockets: 1024, MemoryMB: 128, AnswerSlack: 20_000, ColdFrom: 0.3,
-			ColdWarm: 4_000_000, ColdFactor: 3, ColdWindow: 1_000_000, DrainGrace: 1_500_000}}
+			ColdWarm: 4_000_000, ColdFactor: 3, ColdWindow: 1_000_000, DrainGrace: scenario.Span(drainGrace.Microseconds())}}
 	var entries []standin.Entry
 	for i := range addrs {
 		entries = append(entries, standin.Entry{Server: i, Zone: i % zones, Weight: 1})
