Rig: a liar's end waits out the library's last probe, which looked like a leak

Cause: Shutdown does not wait for a probe, which waits out its time, 0.5 s and up to three times that where a node finds itself ill; goleak looks for some 0.4 s. The one member that lives in the test's process is the liar of TestProcessFaults, whose end may be the run's last (liar.go, Close). It waits for members.ProbeEnds now; the check is as it was. Not forced: it needs the probe and the last test to end together.

--- a/internal/fleet/members/members.go
+++ b/internal/fleet/members/members.go
@@ -30,6 +30,12 @@
 	young = 10 * time.Second
 	// exchangeEvery is how often a node exchanges all that it knows with another; see ExchangeEvery.
 	exchangeEvery = 5 * time.Second
+	probeEvery    = 500 * time.Millisecond
+	// mostAwareness is by how much a node that finds itself ill looks for the others more slowly. Danger: one that is cut off does, and would
+	// look ever more slowly.
+	mostAwareness = 3
+	// ProbeEnds is how long after Close a probe of the library, which waits for nobody's end, may go on: it waits out its time.
+	ProbeEnds = probeEvery * mostAwareness
 	// leaveWait is how long a node waits until its leaving has gone out.
 	leaveWait = 300 * time.Millisecond
 	packets   = 256 // that may wait to be worked
@@ -81,9 +87,9 @@
 	config.Logger = stdlog.New(quiet{log}, "", 0)
 	config.UDPBufferSize = transport.MostPayload
 	config.EnableCompression = false // what is told is short
-	config.ProbeInterval, config.ProbeTimeout = clock.Real(500*time.Millisecond), clock.Real(200*time.Millisecond)
+	config.ProbeInterval, config.ProbeTimeout = clock.Real(probeEvery), clock.Real(200*time.Millisecond)
 	config.SuspicionMult, config.SuspicionMaxTimeoutMult = 3, 2
-	config.AwarenessMaxMultiplier = 3 // Danger: a node that is cut off finds itself ill, and would look for the others ever more slowly
+	config.AwarenessMaxMultiplier = mostAwareness
 	config.GossipInterval = clock.Real(100 * time.Millisecond)
 	config.PushPullInterval = clock.Real(exchangeEvery)
 	config.TCPTimeout = clock.Real(2 * time.Second)
--- a/internal/lab/together/liar.go
+++ b/internal/lab/together/liar.go
@@ -79,4 +79,5 @@
 	l.over.Wait()
 	l.members.Close()
 	l.way.Close()
+	time.Sleep(members.ProbeEnds) // Danger: what the library leaves running for so long looks like a leak of the run's
 }
