Frontend: log what the clients' sockets are held for while others wait

Five explanations fit: sockets held by unfinished requests, by pending ops, by idle connections, an overrun backlog, or a node without CPU.

Nothing else changes; the row of TestFaultsAreSeen about unread bytes names the file that its line has moved to.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -59,7 +59,7 @@
 		"a closed connection's request is taken":   {"../frontend/server.go", "state.clientClosed || !c.claimRequest() {", "state.clientClosed {\n\t\t\tc.claimRequest()", "internal/frontend", "TestCompletedWhileClosing"},
 		"the backlog is reset at shutdown":         {"../frontend/listener.go", "acceptDeadline.Before(end);", "acceptDeadline.Before(end) && false;", "internal/frontend", "TestBacklogRefused"},
 		"the ID of a lost client's op is kept":     {"../frontend/server.go", "s.opIDs.release(id)\n\t\t\tbody", "body", "internal/frontend", "TestDisconnectInBacklog"},
-		"a connection with unread bytes is closed": {"../frontend/listener.go", " && !hasUnread(c.tcp)", "", "internal/frontend", "TestIncompleteWithUnreadBytes"},
+		"a connection with unread bytes is closed": {"../frontend/conn.go", " && !hasUnread(c.tcp)", "", "internal/frontend", "TestIncompleteWithUnreadBytes"},
 		"a silent watch is not reopened at once":   {"../registry/registry.go", "minLines := 1; errors.Is", "minLines := 1; false && errors.Is", "internal/registry", "TestWatch"},
 		"an older full list is accepted":           {"../registry/registry.go", "if generation < c.generation {", "if false {", "internal/registry", "TestWatch"},
 		"the delay of a watch grows too long":      {"../registry/registry.go", "limit = min(limit, grace/2)", "_ = grace", "internal/registry", "TestAutoWatchBackoff"},
--- /dev/null
+++ b/internal/frontend/connuse.go
@@ -0,0 +1,29 @@
+package frontend
+
+import "github.com/rs/zerolog"
+
+// connUse is what a client's connection holds its socket for.
+type connUse int
+
+const (
+	useSilent  connUse = iota // no byte of the first request was received
+	usePartial                // bytes of a request were received, which is not complete
+	useIdle                   // between two requests
+	usePending                // a complete request that is not answered yet
+	useCount                  // number of uses
+)
+
+// String returns the name of the use in the log.
+func (u connUse) String() string {
+	return [useCount]string{useSilent: "silent", usePartial: "partial", useIdle: "idle", usePending: "pending"}[u]
+}
+
+// useCounts is the number of connections of each use.
+type useCounts [useCount]int
+
+// MarshalZerologObject writes one field for each use.
+func (c useCounts) MarshalZerologObject(e *zerolog.Event) {
+	for use, count := range c {
+		e.Int(connUse(use).String(), count)
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -42,6 +42,7 @@
 	maxRemaining   = time.Hour               // largest value of remainingHeader
 
 	badRequestLogInterval   = time.Second           // minimum between two log lines about bad requests
+	shortageLogInterval     = time.Second           // minimum between two log lines about a shortage of sockets
 	tcpInfoGranularity      = 10 * time.Millisecond // the kernel reports times in steps of some milliseconds
 	disconnectCheckInterval = 50 * time.Millisecond // between checks for a disconnect that the library can't notice
 
@@ -89,6 +90,7 @@
 	clock      *node.Clock
 	log        zerolog.Logger
 	sampledLog zerolog.Logger // rate-limited log for errors that bad clients cause
+	shortage   zerolog.Logger // rate-limited log for shortages of sockets
 	http       *http.Server
 	listener   *listener
 	idleConns  idleConnList
@@ -117,8 +119,9 @@
 		clock:      clock,
 		log:        log,
 		sampledLog: sampledLog,
-		listener:   newListener(tcpListener.(*net.TCPListener), budget),
+		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
+	s.listener = newListener(tcpListener.(*net.TCPListener), budget, s.logShortage)
 	s.SetOptions(options)
 	budget.OnExhausted(s.idleConns.closeLongestIdle)
 	s.http = &http.Server{
@@ -160,6 +163,13 @@
 	return err
 }
 
+// logShortage logs what the clients' sockets are held for while a new connection waits for one.
+func (s *Server) logShortage(waited time.Duration) {
+	if event := s.shortage.Warn(); event.Enabled() {
+		event.Int64("waited_ms", waited.Milliseconds()).EmbedObject(s.openConns.countUses()).Msg("no socket is free for clients")
+	}
+}
+
 // SetOptions applies other settings to requests that begin from now on.
 func (s *Server) SetOptions(options Options) { s.options.Store(&options) }
 
