Sockets: reading and tracking in one step, moved out of internal/servers

Cause: connections to servers read and track bytes while holding their mutex, so that no byte lies between the two. Connections from clients need the same, to close one without crossing a request that was just read.

Change: sockets.ReadLocked holds what stood in servers.conn.receive, for both kinds of platform. It asks before each read whether reading is still allowed, and repeats an interrupted read at once. Behaviour of servers.conn is the same.

--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -197,12 +197,10 @@
 	}
 }
 
-// readThenTrack does the work of receive in two separate steps, where they can't be combined.
-func (c *conn) readThenTrack(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.track(b[:n], err)
+// receive reads and tracks bytes in one step for beginWrite. Otherwise bytes that were read while no push was in flight, by a
+// goroutine that was then delayed, would be taken for the answer to a push that began in the meantime.
+func (c *conn) receive(b []byte) (int, error) {
+	return sockets.ReadLocked(c.Conn, c.rawConn, &c.mu, b, func() error { return nil }, c.track)
 }
 
 // track processes what was read and returns how many of the bytes belong to the expected answer. The caller holds mu.
