Frontend: the time to write an answer counts from the answer

The table of connection states for the postmortem showed it: a client that reads no answer held its socket for the time that it had named itself, up to an hour, and 2 s.

Cause: the write deadline was set when the request was read, from X-Remaining-Ms.

Change: it is set when the answer is there, to the longest TTL of the settings and 2 s. A sound client waits no longer than its TTL, so slow readers have at least the time that they had.

--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -351,3 +351,66 @@
 		t.Errorf("%d requests were taken, %d were answered", got, answered)
 	}
 }
+
+// startUnreadAnswers starts a server whose answers to the category browse are long, and clients that send many such requests
+// at once and read none of the answers.
+func startUnreadAnswers(t *testing.T, budgetSize, count int) (r *testServer, bad []*client) {
+	t.Helper()
+	long := strings.Repeat("x", node.MaxBodyBytes)
+	r = startServer(t, budgetSize, func(op *node.Op) {
+		if op.Category == 1 {
+			body, _ := node.ReadPayload(strings.NewReader(long), -1)
+			op.Answer(node.Answer{Verdict: node.Acked, Body: body})
+			return
+		}
+		echo(op)
+	})
+	for range count {
+		c := r.dial(t)
+		c.Conn.(*net.TCPConn).SetReadBuffer(4096)
+		var requests strings.Builder
+		for range 200 {
+			requests.WriteString(strings.Replace(newRequest("GET", "/browse", ""), "Ms: 480", "Ms: 3600000", 1))
+		}
+		go io.WriteString(c.Conn, requests.String())
+		bad = append(bad, c)
+	}
+	awaitCondition(t, "answers are not blocked", func() bool { return r.blockedWrites(10*time.Millisecond) == count })
+	return r, bad
+}
+
+// blockedWrites returns the number of connections on which a write has been in progress for a time.
+func (r *testServer) blockedWrites(since time.Duration) (count int) {
+	r.openConns.mu.Lock()
+	defer r.openConns.mu.Unlock()
+	for c := range r.openConns.conns {
+		if start := c.writingSince.Load(); start > 0 && time.Since(c.acceptedAt)-time.Duration(start) >= since {
+			count++
+		}
+	}
+	return count
+}
+
+// TestUnreadAnswers guards against sockets that are held for as long as a client says that it waits, since it reads no answer.
+func TestUnreadAnswers(t *testing.T) {
+	r, _ := startUnreadAnswers(t, 9, 1)
+	start := time.Now()
+	awaitCondition(t, "connection is still open", r.openConns.empty)
+	if elapsed := time.Since(start); elapsed > r.options.Load().MaxTTL+writeTimeout+time.Second {
+		t.Errorf("connection was closed after %v", elapsed)
+	}
+}
+
+// TestOthersServedAmongUnreadAnswers guards against requests without an answer in their time because clients that read none of
+// their answers hold all sockets.
+func TestOthersServedAmongUnreadAnswers(t *testing.T) {
+	const budgetSize = 4
+	r, _ := startUnreadAnswers(t, budgetSize, budgetSize)
+	for range 3 {
+		start := time.Now()
+		got := r.dial(t).roundTrip(requestWithTime("1500"))
+		if elapsed := time.Since(start); got != "200 GET /checkout " || elapsed > 1500*time.Millisecond {
+			t.Errorf("got %q after %v", got, elapsed)
+		}
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -37,7 +37,7 @@
 	requestTimeout = 2500 * time.Millisecond // for reading a whole request, counted likewise
 	minBodyTimeout = 500 * time.Millisecond  // minimum of requestTimeout for the body; also for reading on after a refusal
 	idleTimeout    = 4 * time.Second         // between two requests of a connection
-	writeTimeout   = 2 * time.Second         // for writing an answer, after the op's deadline
+	writeTimeout   = 2 * time.Second         // for writing an answer, beyond the longest TTL
 	maxHeaderBytes = 16 << 10                // of a request's header
 	maxRemaining   = time.Hour               // largest value of remainingHeader
 
@@ -277,7 +277,9 @@
 	}
 	defer s.opIDs.release(op.Header.Get(idHeader))
 	s.actor.Submit(op)
-	s.writeAnswer(w, s.awaitAnswer(r, op))
+	answer := s.awaitAnswer(r, op)
+	control.SetWriteDeadline(time.Now().Add(s.options.Load().MaxTTL + writeTimeout)) // the client may read nothing
+	s.writeAnswer(w, answer)
 }
 
 // awaitAnswer waits for the op's answer. If the client disconnects first, it abandons the op.
@@ -371,7 +373,6 @@
 		}
 	}
 	control.SetReadDeadline(time.Time{}) // otherwise a timed-out read would look like a client that has left
-	control.SetWriteDeadline(time.Now().Add(time.Duration(remaining)*time.Millisecond + writeTimeout))
 	op = node.NewOp()
 	op.Request = node.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
 	op.Category = category
