Frontend: requests that have begun when the process ends are nacked

At a planned restart a request that became complete after the shutdown had begun, or whose first bytes were read on a kept connection, was closed with no answer at all.

Cause: http.Server closes idle connections at its shutdown, whatever was read of the next request, and drops a request that it reads to the end from then on. Also, a readiness check whose body never comes kept its socket for 2 s, and nothing freed it while others waited.

Change: while the process ends, closing a connection nacks a request that has begun and was not taken; nothing of it was sent on. The library's own answers to bad requests count as such answers, so none is followed by a nack. A readiness check is taken like an op; one with a body closes its connection, like a bad request.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -26,8 +27,9 @@
 	tcp        *net.TCPConn
 	raw        syscall.RawConn // nil if the kernel can't be asked
 	acceptedAt time.Time
-	hadRequest bool   // bodyDeadline was called for the first request; used by the handler only
-	onIdle     func() // called when the library waits for the next request
+	hadRequest bool         // bodyDeadline was called for the first request; used by the handler only
+	onIdle     func()       // called when the library waits for the next request
+	ending     *atomic.Bool // the process ends, and the library closes connections with requests that it has read
 
 	reading      atomic.Bool   // the library is in Read, and so will notice a disconnect
 	state        atomic.Uint32 // connNoRequest, connHasRequest, connRefused or connClosed; changed to connClosed while holding mu
@@ -55,9 +57,9 @@
 )
 
 // newConn returns a connection that was accepted within a budget.
-func newConn(tcp *net.TCPConn, budget *sockets.Budget) *conn {
+func newConn(tcp *net.TCPConn, budget *sockets.Budget, ending *atomic.Bool) *conn {
 	now := time.Now()
-	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, onIdle: budget.NotifyIdle}
+	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, onIdle: budget.NotifyIdle, ending: ending}
 	c.raw, _ = tcp.SyscallConn()
 	c.lastByteAt = now.Add(-readTCPState(tcp).sinceLastByte) // the connection may have waited in the backlog
 	return c
@@ -67,7 +69,9 @@
 // moment, and a request that is accepted after the close could not be answered.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	c.state.Store(connClosed)
+	if c.state.Swap(connClosed) == connNoRequest && c.ending.Load() {
+		c.nackUnfinished()
+	}
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -101,6 +105,16 @@
 	return true
 }
 
+// markLibraryRefusal is called before a write. What is written while no request is taken and none is being read is the
+// library's own answer to a bad request.
+func (c *conn) markLibraryRefusal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == phaseHandler && c.state.CompareAndSwap(connNoRequest, connRefused) {
+		c.refusedAt = time.Now()
+	}
+}
+
 // hasRequest reports whether a complete request has not been answered yet.
 func (c *conn) hasRequest() bool { return c.state.Load() == connHasRequest }
 
@@ -179,6 +193,7 @@
 	if err := c.closedError("write"); err != nil {
 		return 0, err
 	}
+	c.markLibraryRefusal()
 	c.writingSince.Store(int64(time.Since(c.acceptedAt)))
 	defer c.writingSince.Store(0)
 	return c.Conn.Write(b)
@@ -192,14 +207,27 @@
 // earlier answers unread.
 const refusalWriteTimeout = 5 * time.Millisecond
 
+// nackUnfinished answers a request of which part was received and that is given up. The caller holds mu, and has changed the
+// state to connClosed.
+func (c *conn) nackUnfinished() {
+	if c.requestStarted.IsZero() {
+		return
+	}
+	c.tcp.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	io.WriteString(c.tcp, refusalAnswer)
+}
+
 // closeUnfinished closes the connection if it has no complete request, and check holds while no byte can be read. If part of
 // a request was received, it is nacked: its last byte may have been read in the meantime, and then it must be answered.
 func (c *conn) closeUnfinished(check func() bool) bool {
 	c.mu.Lock()
-	closing := check() && (c.state.CompareAndSwap(connNoRequest, connClosed) || c.state.CompareAndSwap(connRefused, connClosed))
-	if closing && !c.requestStarted.IsZero() && c.refusedAt.IsZero() {
-		c.tcp.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-		c.tcp.Write([]byte(refusalAnswer))
+	closing := check()
+	switch {
+	case !closing:
+	case c.state.CompareAndSwap(connNoRequest, connClosed):
+		c.nackUnfinished()
+	default:
+		closing = c.state.CompareAndSwap(connRefused, connClosed)
 	}
 	c.mu.Unlock()
 	if closing {
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -33,6 +33,7 @@
 	onShortage      func(waited time.Duration) // called while a connection waits for a socket
 
 	waitingSince    atomic.Pointer[time.Time] // see waited; nil: no connection waits
+	ending          atomic.Bool               // the process ends; see conn.Close
 	backlogDeadline atomic.Pointer[time.Time] // when emptying the backlog ends at the latest; set by drain
 }
 
@@ -57,7 +58,7 @@
 				l.refuseBacklog(tcp)
 				return nil, net.ErrClosed
 			}
-			return newConn(tcp, l.budget), nil
+			return newConn(tcp, l.budget, &l.ending), nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && !l.emptyingBacklog:
 			// Closing the listener now would reset the connections in the backlog.
 			l.emptyingBacklog = true
--- a/internal/frontend/race_test.go
+++ b/internal/frontend/race_test.go
@@ -282,6 +282,44 @@
 	drained.Wait()
 }
 
+// TestCompletedDuringShutdown guards against requests without any answer that have begun when the process ends: the HTTP library
+// closes their connections without one, also if they become complete.
+func TestCompletedDuringShutdown(t *testing.T) {
+	ops := make(chan *node.Op, 8)
+	r := startServer(t, 9, holdBrowse(ops))
+	shutdown := make(chan struct{})
+	r.http.RegisterOnShutdown(func() { close(shutdown) })
+	running, kept, partial := r.dial(t), r.dial(t), r.dial(t)
+	io.WriteString(running.Conn, newRequest("GET", "/browse", "")) // keeps the process from ending
+	op := <-ops
+	if got := kept.roundTrip(newRequest("GET", "/checkout", "")); got != "200 GET /checkout " {
+		t.Fatalf("got %q", got)
+	}
+	raw := newRequest("GET", "/checkout", "")
+	io.WriteString(kept.Conn, raw[:1])
+	io.WriteString(partial.Conn, raw[:len(raw)-2])
+	var drained sync.WaitGroup
+	drained.Go(func() { r.Drain(r.serveResult, false) })
+	<-shutdown
+	io.WriteString(partial.Conn, raw[len(raw)-2:])
+	for name, c := range map[string]*client{"kept connection": kept, "new connection": partial} {
+		if got := c.readAnswer(); got != "503 close" {
+			t.Errorf("%s: got %q", name, got)
+		}
+		if got := c.readAnswer(); got != "closed" {
+			t.Errorf("%s: then got %q", name, got)
+		}
+	}
+	if len(ops) > 0 {
+		t.Error("an op was taken")
+	}
+	echo(op)
+	if got := running.readAnswer(); got != "200 close GET /browse " && got != "200 GET /browse " {
+		t.Errorf("running op: got %q", got)
+	}
+	drained.Wait()
+}
+
 // TestIncompleteWithUnreadBytes checks that a connection with unread bytes is not closed as incomplete, since this process may
 // not have been scheduled.
 func TestIncompleteWithUnreadBytes(t *testing.T) {
--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -96,6 +96,7 @@
 		"body, kept connection":       {badClient{first: kept, answers: 1, rest: whole[:len(whole)-2]}, 5, "480"},
 		"refused, rest of the body":   {badClient{first: strings.Replace(whole, "/booking", "/elsewhere", 1)[:len(whole)-2]}, 5, "480"},
 		"refused, head too long":      {badClient{first: "GET /checkout HTTP/1.1\r\nX-Odd: " + strings.Repeat("x", 2*maxHeaderBytes)}, 5, "480"},
+		"readiness check, no body":    {badClient{first: "GET /-/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"}, 5, "480"},
 		"head byte by byte":           {badClient{first: whole[:30], trickle: 50 * time.Millisecond}, 3, "2500"},
 		"body byte by byte": {badClient{first: strings.Replace(whole, "Length: 4", "Length: 999", 1), trickle: 50 * time.Millisecond},
 			3, "2500"},
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -193,6 +193,7 @@
 	}
 	// Requests that bad clients have begun and never finish would delay the restart by seconds, and the next node may go
 	// down in the meantime. So connections without a complete request, on which nothing arrives any more, are closed.
+	s.listener.ending.Store(true)
 	shutdown := make(chan error, 1)
 	go func() { shutdown <- s.http.Shutdown(ctx) }()
 	ticker := time.NewTicker(minBodyTimeout / 10)
@@ -256,7 +257,7 @@
 		}
 	}()
 	if r.URL.Path == readyPath {
-		w.WriteHeader(http.StatusOK)
+		answerReady(w, r)
 		return
 	}
 	op, status, reason := s.readOp(w, r)
@@ -282,6 +283,19 @@
 	s.writeAnswer(w, answer)
 }
 
+// answerReady answers a readiness check.
+func answerReady(w http.ResponseWriter, r *http.Request) {
+	mayAnswer := (*conn).claimRequest
+	if r.ContentLength != 0 { // its body may never come
+		w.Header().Set("Connection", "close")
+		mayAnswer = (*conn).markRefused
+	}
+	if c, ok := connOf(r); ok && !mayAnswer(c) {
+		panic(http.ErrAbortHandler) // this process has closed the connection
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
 // awaitAnswer waits for the op's answer. If the client disconnects first, it abandons the op.
 func (s *Server) awaitAnswer(r *http.Request, op *node.Op) node.Answer {
 	var check <-chan time.Time
