Frontend: slow clients keep their connections while stopped ones lose theirs

Within the first 0.2 s of a burst nobody has stopped for long enough, so requests that had been arriving for 0.5 s were closed instead (5 of 200 nacked with pauses of 0.18 s), and clients whose pauses exceed the grace were the first to go (15 of 200 with 0.3 s). Behind a single free socket each connection also waited for the next look, 25 ms.

Change: clients that have paused and gone on, and slow ones, are closed only after nothing else could be for as long as the usual grace. A look is taken as soon as the library waits for more bytes of a connection.

Failed try: reading of how long a client has been in the backlog lets slow clients go by rank alone; they were still the only ones past their time in the first 0.2 s.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -28,7 +28,7 @@
 	raw        syscall.RawConn // nil if the kernel can't be asked
 	acceptedAt time.Time
 	hadRequest bool         // bodyDeadline was called for the first request; used by the handler only
-	onIdle     func()       // called when the library waits for the next request
+	onWaiting  func()       // called when the library waits for bytes of a request
 	ending     *atomic.Bool // the process ends, and the library closes connections with requests that it has read
 
 	reading      atomic.Bool   // the library is in Read, and so will notice a disconnect
@@ -40,6 +40,7 @@
 	phase          connPhase
 	served         bool      // at least one request was answered
 	requestStarted time.Time // when the first byte of the incomplete request was received; zero if there is none
+	resumed        bool      // the client has paused in the incomplete request and sent more
 	lastByteAt     time.Time // when the client was last heard of: its last byte or, before the first, its connecting
 	refusedAt      time.Time // when the connection became connRefused
 
@@ -59,7 +60,7 @@
 // newConn returns a connection that was accepted within a budget.
 func newConn(tcp *net.TCPConn, budget *sockets.Budget, ending *atomic.Bool) *conn {
 	now := time.Now()
-	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, onIdle: budget.NotifyIdle, ending: ending}
+	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, onWaiting: budget.NotifyIdle, ending: ending}
 	c.raw, _ = tcp.SyscallConn()
 	c.lastByteAt = now.Add(-readTCPState(tcp).sinceLastByte) // the connection may have waited in the backlog
 	return c
@@ -144,17 +145,22 @@
 func (c *conn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	if c.isIdle() {
-		c.onIdle()
+	if c.waitsForBytes() {
+		c.onWaiting()
 	}
 	return sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
 }
 
-// isIdle reports whether the connection is between two requests.
-func (c *conn) isIdle() bool {
+// waitsForBytes reports whether the library waits for bytes of a request.
+func (c *conn) waitsForBytes() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.use() == useIdle
+	return c.waitsForBytesLocked()
+}
+
+// waitsForBytesLocked does the work of waitsForBytes. The caller holds mu.
+func (c *conn) waitsForBytesLocked() bool {
+	return c.reading.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
 }
 
 // mayRead returns an error once the connection was closed: what is read then could not be answered. The caller holds mu.
@@ -169,6 +175,9 @@
 	return &net.OpError{Op: operation, Net: "tcp", Err: net.ErrClosed}
 }
 
+// minPause is the shortest time without a byte, in the middle of a request, that counts as a pause of its client.
+const minPause = 20 * time.Millisecond
+
 // track records what a Read got. The caller holds mu.
 func (c *conn) track(b []byte, err error) (int, error) {
 	now := time.Now()
@@ -177,12 +186,16 @@
 	if len(b) == 0 {
 		return 0, err
 	}
+	previousByteAt := c.lastByteAt
 	c.lastByteAt = now
 	if !c.served {
 		c.lastByteAt = now.Add(-readTCPState(c.tcp).sinceLastByte) // the bytes may have waited in the backlog
 	}
 	if c.requestStarted.IsZero() {
 		c.requestStarted = c.lastByteAt
+		c.resumed = false
+	} else if c.lastByteAt.Sub(previousByteAt) >= minPause {
+		c.resumed = true
 	}
 	return len(b), err
 }
--- a/internal/frontend/connset.go
+++ b/internal/frontend/connset.go
@@ -9,8 +9,9 @@
 
 // openConnSet holds the open connections.
 type openConnSet struct {
-	mu    sync.Mutex // guards conns
-	conns map[*conn]bool
+	mu          sync.Mutex // guards the fields below
+	conns       map[*conn]bool
+	lastReclaim time.Time // when a connection was closed to free its socket, other than one whose client was seen to go on
 }
 
 // stateChanged updates the set when the HTTP library changes the state of a connection.
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -22,6 +22,9 @@
 // backlogQuietTime is how long the backlog must have been empty before the listener closes.
 const backlogQuietTime = 50 * time.Millisecond
 
+// emptyBacklogTime is how long an accept must have waited to tell that no connection was in the backlog.
+const emptyBacklogTime = 5 * time.Millisecond
+
 // listener accepts connections within the clients' socket budget. When the budget is used up, connections wait in the kernel's
 // backlog, and Accept blocks.
 type listener struct {
@@ -32,7 +35,8 @@
 	emptyingBacklog bool                       // drainAcceptTime has passed
 	onShortage      func(waited time.Duration) // called while a connection waits for a socket
 
-	waitingSince    atomic.Pointer[time.Time] // see waited; nil: no connection waits
+	waitingSince    atomic.Pointer[time.Time] // last byte of the connection that waits for a socket; nil: none waits
+	shortSince      atomic.Pointer[time.Time] // when connections began to wait; nil: the backlog has been empty since
 	ending          atomic.Bool               // the process ends; see conn.Close
 	backlogDeadline atomic.Pointer[time.Time] // when emptying the backlog ends at the latest; set by drain
 }
@@ -48,7 +52,11 @@
 // uses a descriptor reserved for the process itself.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		startedAt := time.Now()
 		tcp, err := l.AcceptTCP()
+		if time.Since(startedAt) >= emptyBacklogTime {
+			l.shortSince.Store(nil)
+		}
 		switch {
 		case err == nil:
 			if l.emptyingBacklog {
@@ -79,9 +87,11 @@
 	if l.budget.TryAcquire() {
 		return true
 	}
-	waitingSince := time.Now().Add(-readTCPState(tcp).sinceLastByte)
+	now := time.Now()
+	waitingSince := now.Add(-readTCPState(tcp).sinceLastByte)
 	l.waitingSince.Store(&waitingSince)
 	defer l.waitingSince.Store(nil)
+	l.shortSince.CompareAndSwap(nil, &now)
 	for {
 		ctx, cancel := context.WithTimeout(l.ctx, reclaimInterval)
 		err := l.budget.Acquire(ctx)
@@ -92,18 +102,17 @@
 		if l.ctx.Err() != nil {
 			return false
 		}
-		l.onShortage(l.waited())
+		l.onShortage(l.shortage().waited)
 	}
 }
 
-// waited returns how long the connection that waits for a socket has waited, including its time in the backlog: the time since
-// its last byte. It is zero if none waits.
-func (l *listener) waited() time.Duration {
-	since := l.waitingSince.Load()
-	if since == nil {
-		return 0
+// shortage returns how long connections have been waiting for a socket. It is zero if none waits.
+func (l *listener) shortage() shortage {
+	waitingSince, shortSince := l.waitingSince.Load(), l.shortSince.Load()
+	if waitingSince == nil || shortSince == nil {
+		return shortage{}
 	}
-	return time.Since(*since)
+	return shortage{waited: time.Since(*waitingSince), lasted: time.Since(*shortSince)}
 }
 
 // quietDeadline returns when the backlog counts as empty unless a connection arrives before. It is limited by
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -12,7 +13,7 @@
 const (
 	// newConnGrace is how long a new connection may be silent.
 	newConnGrace = 100 * time.Millisecond
-	// maxStalledGrace and minStalledGrace limit how long a client may send nothing in the middle of a request; see stalledGrace.
+	// maxStalledGrace and minStalledGrace limit how long a client may send nothing in the middle of a request; see graces.
 	maxStalledGrace = 200 * time.Millisecond
 	minStalledGrace = 25 * time.Millisecond
 	// stalledGraceDivisor is the part of the shortest TTL that others may lose by waiting for clients that have stopped.
@@ -35,6 +36,7 @@
 	reclaimSilent                     // nothing was sent on a new connection
 	reclaimStalled                    // the client has stopped in the middle of a request
 	reclaimIdle                       // between two requests
+	reclaimPaused                     // the client has stopped in a request, but has paused and gone on before
 	reclaimUnread                     // the client does not read its answer
 	reclaimSlow                       // a request that keeps arriving slowly
 )
@@ -46,19 +48,45 @@
 	since time.Time // earlier ones are reclaimed first among those of a rank
 }
 
-// stalledGrace returns how long a client may send nothing in the middle of a request while another connection has waited for
-// a time. What that one waits beyond the usual grace is taken off: otherwise clients that are served first and then stop could
-// follow each other without end.
-func (o *Options) stalledGrace(waited time.Duration) time.Duration {
-	grace := maxStalledGrace
-	if o.MinTTL > 0 {
-		grace = min(grace, o.MinTTL/stalledGraceDivisor)
+// shortage describes how connections wait for a socket.
+type shortage struct {
+	waited time.Duration // since the last byte of the connection that waits, including its time in the backlog
+	lasted time.Duration // since connections began to wait, one after the other
+}
+
+// graces are the times that a client has for an incomplete request while another connection waits.
+type graces struct {
+	stalled time.Duration // without a byte
+	paused  time.Duration // without a byte, if it has paused and gone on before
+	slow    time.Duration // from its first byte on, although bytes keep coming
+}
+
+// usualGrace returns how long a client may send nothing in the middle of a request while others do not wait longer themselves.
+func (o *Options) usualGrace() time.Duration {
+	if o.MinTTL == 0 {
+		return maxStalledGrace
+	}
+	return min(maxStalledGrace, max(minStalledGrace, o.MinTTL/stalledGraceDivisor))
+}
+
+// newGraces returns the times that hold while a connection has waited for a time, and no socket could be reclaimed for another.
+// What it waits beyond the usual grace is taken off the grace of clients that have stopped: otherwise clients that are served
+// first and then stop could follow each other without end. Clients that were seen to go on are closed only if there are none of
+// these.
+func newGraces(usual, waited, stuck time.Duration) graces {
+	times := graces{stalled: usual, paused: math.MaxInt64, slow: math.MaxInt64}
+	if waited > usual {
+		times.stalled = max(minStalledGrace, 2*usual-waited)
+	}
+	if stuck > usual {
+		times.paused = times.stalled
+		times.slow = slowTransferLimit
 	}
-	return max(minStalledGrace, grace-max(0, waited-grace))
+	return times
 }
 
 // candidate returns the connection as a candidate; its rank may be reclaimNever. The caller holds mu.
-func (c *conn) candidate(now time.Time, stalledGrace time.Duration) reclaimCandidate {
+func (c *conn) candidate(now time.Time, graces graces) reclaimCandidate {
 	rankAfter := func(grace time.Duration, rank reclaimRank, since time.Time) reclaimCandidate {
 		if now.Sub(since) < grace {
 			rank = reclaimNever
@@ -66,7 +94,7 @@
 		return reclaimCandidate{c, rank, since}
 	}
 	use := c.use()
-	waitsForBytes := c.reading.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
+	waitsForBytes := c.waitsForBytesLocked()
 	switch {
 	case use == useRefused && c.Disconnected():
 		return rankAfter(0, reclaimRefused, c.refusedAt)
@@ -78,17 +106,19 @@
 		return rankAfter(newConnGrace, reclaimSilent, c.lastByteAt)
 	case use == useIdle && waitsForBytes:
 		return rankAfter(0, reclaimIdle, c.lastByteAt)
-	case use == usePartial && waitsForBytes && now.Sub(c.lastByteAt) >= stalledGrace:
-		return reclaimCandidate{c, reclaimStalled, c.lastByteAt}
+	case use == usePartial && waitsForBytes && !c.resumed:
+		return rankAfter(graces.stalled, reclaimStalled, c.lastByteAt)
+	case use == usePartial && waitsForBytes && now.Sub(c.lastByteAt) >= graces.paused:
+		return reclaimCandidate{c, reclaimPaused, c.lastByteAt}
 	case use == usePartial && waitsForBytes:
-		return rankAfter(slowTransferLimit, reclaimSlow, c.requestStarted)
+		return rankAfter(graces.slow, reclaimSlow, c.requestStarted)
 	}
 	return reclaimCandidate{conn: c}
 }
 
 // reclaim closes a connection if it still has the rank that it was selected for.
-func (c *conn) reclaim(rank reclaimRank, stalledGrace time.Duration) bool {
-	hasRank := func() bool { return c.candidate(time.Now(), stalledGrace).rank == rank }
+func (c *conn) reclaim(rank reclaimRank, graces graces) bool {
+	hasRank := func() bool { return c.candidate(time.Now(), graces).rank == rank }
 	switch rank {
 	case reclaimUnread:
 		c.mu.Lock()
@@ -107,9 +137,19 @@
 
 // reclaimSocket closes the connection that is least likely to bring a good request or to get its answer, because another one
 // waits for a socket. If none can be closed yet, it does nothing: the caller tries again after reclaimInterval.
-func (s *openConnSet) reclaimSocket(stalledGrace time.Duration) {
-	for _, candidate := range s.reclaimCandidates(time.Now(), stalledGrace) {
-		if candidate.conn.reclaim(candidate.rank, stalledGrace) {
+func (s *openConnSet) reclaimSocket(shortage shortage, usualGrace time.Duration) {
+	now := time.Now()
+	s.mu.Lock()
+	stuck := min(shortage.lasted, now.Sub(s.lastReclaim))
+	s.mu.Unlock()
+	graces := newGraces(usualGrace, shortage.waited, stuck)
+	for _, candidate := range s.reclaimCandidates(now, graces) {
+		if candidate.conn.reclaim(candidate.rank, graces) {
+			if candidate.rank != reclaimPaused && candidate.rank != reclaimSlow {
+				s.mu.Lock()
+				s.lastReclaim = now
+				s.mu.Unlock()
+			}
 			return
 		}
 	}
@@ -119,13 +159,13 @@
 //
 // Idle connections are spared while at least half of all connections have no complete request: these hold the sockets, and
 // their times end soon. The clients of idle connections would have to wait in the backlog with all others.
-func (s *openConnSet) reclaimCandidates(now time.Time, stalledGrace time.Duration) []reclaimCandidate {
+func (s *openConnSet) reclaimCandidates(now time.Time, graces graces) []reclaimCandidate {
 	var candidates []reclaimCandidate
 	var counts useCounts
 	s.mu.Lock()
 	for clientConn := range s.conns {
 		clientConn.mu.Lock()
-		if candidate := clientConn.candidate(now, stalledGrace); candidate.rank != reclaimNever {
+		if candidate := clientConn.candidate(now, graces); candidate.rank != reclaimNever {
 			candidates = append(candidates, candidate)
 		}
 		counts[clientConn.use()]++
--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -18,10 +18,11 @@
 	return strings.Replace(newRequest("GET", "/checkout", ""), "Ms: 480", "Ms: "+remaining, 1)
 }
 
-// badClient occupies a connection and stays. It sends first, reads as many answers, and then sends the rest.
+// badClient occupies a connection and stays. It sends first, reads as many answers, pauses, and then sends the rest.
 type badClient struct {
 	first, rest string
 	answers     int           // answers that are read between the two
+	pause       time.Duration // before the rest
 	trickle     time.Duration // one more byte after each such time; 0: nothing more is sent
 }
 
@@ -37,6 +38,7 @@
 	for range b.answers {
 		c.readAnswer()
 	}
+	time.Sleep(b.pause)
 	io.WriteString(netConn, b.rest)
 	ended := make(chan struct{})
 	go func() {
@@ -89,6 +91,7 @@
 		"first byte":                  {badClient{first: whole[:1]}, 5, "480"},
 		"part of the head":            {badClient{first: whole[:60]}, 5, "480"},
 		"head without its end":        {badClient{first: whole[:len(whole)-6]}, 5, "480"},
+		"two parts of the head":       {badClient{first: whole[:30], pause: 2 * minPause, rest: whole[30:60]}, 5, "1000"},
 		"no body":                     {badClient{first: whole[:len(whole)-4]}, 5, "480"},
 		"body without its last byte":  {badClient{first: whole[:len(whole)-1]}, 5, "480"},
 		"first byte, kept connection": {badClient{first: kept, answers: 1, rest: "G"}, 5, "480"},
@@ -151,13 +154,13 @@
 			time.Sleep(time.Duration(i) * 30 * time.Millisecond)
 			slow := r.dial(t)
 			raw := strings.Replace(newRequest("POST", "/booking", "slow body"), "Ms: 480", "Ms: 2500", 1)
-			if got := slow.sendInPieces(raw, 8, maxStalledGrace/3); got != "200 POST /booking slow body" {
+			if got := slow.sendInPieces(raw, 15, maxStalledGrace/3); got != "200 POST /booking slow body" {
 				t.Errorf("slow client: got %q", got)
 			}
 		})
 		sound.Go(func() {
 			<-startKept
-			for range 8 {
+			for range 14 {
 				time.Sleep(70 * time.Millisecond)
 				if got := kept.roundTrip(requestWithTime("2500")); got != "200 GET /checkout " {
 					t.Errorf("kept connection: got %q", got)
@@ -166,11 +169,31 @@
 		})
 	}
 	close(startKept)
+	time.Sleep(slowTransferLimit + 50*time.Millisecond) // some requests have been arriving for longer than that
 	badClient{first: whole[:60]}.start(t, r.addr, 4*budgetSize)
 	badClient{first: whole[:len(whole)-1]}.start(t, r.addr, 4*budgetSize)
 	sound.Wait()
 }
 
+// TestPausingClientsAmongStoppedClients guards against sound clients that lose their connection in a pause that is longer than
+// others wait for clients that have stopped. They have paused before, which tells them from these.
+func TestPausingClientsAmongStoppedClients(t *testing.T) {
+	const budgetSize = 40
+	const pause = 3 * maxStalledGrace / 2
+	r := startServer(t, budgetSize, echo)
+	var sound sync.WaitGroup
+	for range 6 {
+		sound.Go(func() {
+			if got := r.dial(t).sendInPieces(requestWithTime("2500"), 5, pause); got != "200 GET /checkout " {
+				t.Errorf("got %q", got)
+			}
+		})
+	}
+	time.Sleep(3 * pause / 2) // each has paused once
+	badClient{first: newRequest("POST", "/booking", "body")[:60]}.start(t, r.addr, 4*budgetSize)
+	sound.Wait()
+}
+
 // TestSocketsKeptWhileNobodyWaits guards against connections that are closed although the last socket was taken by one of them
 // and nobody waits for another.
 func TestSocketsKeptWhileNobodyWaits(t *testing.T) {
@@ -314,7 +337,7 @@
 			case <-stop:
 				return
 			default:
-				r.openConns.reclaimSocket(0)
+				r.openConns.reclaimSocket(shortage{}, 0)
 				time.Sleep(20 * time.Microsecond)
 			}
 		}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -159,7 +159,7 @@
 
 // reclaimSocket closes a connection that can be done without, because another one waits for a socket.
 func (s *Server) reclaimSocket() {
-	s.openConns.reclaimSocket(s.options.Load().stalledGrace(s.listener.waited()))
+	s.openConns.reclaimSocket(s.listener.shortage(), s.options.Load().usualGrace())
 }
 
 // logShortage logs what the clients' sockets are held for while a new connection waits for one.
