Frontend: a restart among clients that have stopped is tested

Change: TestDrainAmongStoppedClients. It needs no further fix: sockets are reclaimed during a drain as well, so the backlog is served before the listener closes.

--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -215,6 +215,43 @@
 	}
 }
 
+// TestDrainAmongStoppedClients guards against requests that get no answer at a planned restart because clients that have stopped
+// hold all sockets, and wait in the backlog ahead of others.
+func TestDrainAmongStoppedClients(t *testing.T) {
+	const budgetSize = 20
+	r := startServer(t, budgetSize, echo)
+	badClient{first: newRequest("POST", "/booking", "body")[:60]}.start(t, r.addr, 8*budgetSize)
+	awaitCondition(t, "sockets are not all in use", func() bool { return r.budget.Waiters() > 0 })
+	start := time.Now()
+	drained := make(chan struct{})
+	go func() {
+		r.Drain(r.serveResult, true)
+		close(drained)
+	}()
+	var others sync.WaitGroup
+	for range 30 {
+		netConn, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			break // the listener is closed: its client goes to another node
+		}
+		c := newClient(netConn)
+		others.Go(func() {
+			defer c.Close()
+			start := time.Now()
+			got := c.roundTrip(requestWithTime("1000"))
+			if elapsed := time.Since(start); got != "200 close GET /checkout " && got != "503 close" || elapsed > time.Second {
+				t.Errorf("got %q after %v", got, elapsed)
+			}
+		})
+		time.Sleep(drainAcceptTime / 40)
+	}
+	others.Wait()
+	<-drained
+	if elapsed := time.Since(start); elapsed > r.options.Load().MaxTTL+killDelay {
+		t.Errorf("ended after %v", elapsed)
+	}
+}
+
 // awaitNoUnread waits until the server has read all that its only connection has received, and returns that connection.
 func (r *testServer) awaitNoUnread(t *testing.T) *conn {
 	t.Helper()
