Frontend: no op is pending for longer than the longest TTL

Callers saw: others were refused.

Cause: an op's deadline came from X-Remaining-Ms alone, which may say up to an hour. Such ops hold a client's socket and a place among the pending ops.

Change: the time counts for at most the longest TTL of the settings, which is how long a sound client waits in all. Options.MaxTTL said so already.

Result: TestRemainingBeyondTTL before: 59m59.999s until the deadline with a TTL of 1 s; passes now. Frontend and cmd/canvasrouter tests pass.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -345,10 +345,11 @@
 	if err != nil {
 		return nil, http.StatusBadRequest, err.Error()
 	}
-	remaining, err := strconv.ParseInt(remainingText, 10, 64)
-	if err != nil || remaining < 0 || remaining > maxRemaining.Milliseconds() {
+	milliseconds, err := strconv.ParseInt(remainingText, 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > maxRemaining.Milliseconds() {
 		return nil, http.StatusBadRequest, remainingHeader + " is not a time in whole milliseconds"
 	}
+	remaining := policy.Micros(min(time.Duration(milliseconds)*time.Millisecond, options.MaxTTL) / time.Microsecond)
 	if status, reason := checkForm(r, options.DeliverySemantics[category]); status != 0 {
 		return nil, status, reason
 	}
@@ -383,7 +384,7 @@
 			return nil, statusClientLeft, ""
 		}
 		if state.sinceLastByte > tcpInfoGranularity {
-			now -= min(policy.Micros(state.sinceLastByte/time.Microsecond), policy.Micros(remaining)*policy.Millisecond)
+			now -= min(policy.Micros(state.sinceLastByte/time.Microsecond), remaining)
 		}
 	}
 	control.SetReadDeadline(time.Time{}) // otherwise a timed-out read would look like a client that has left
@@ -392,7 +393,7 @@
 	op.Category = category
 	op.Tenant = tenant
 	op.GenerationNumber = options.GenerationNumber
-	op.Deadline = now + policy.Micros(remaining)*policy.Millisecond
+	op.Deadline = now + remaining
 	if drain := s.drain.Load(); drain != nil {
 		op.Deadline = min(op.Deadline, drain.deadline) // an op that is unanswered at the kill is lost
 	}
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -295,6 +295,20 @@
 	}
 }
 
+// TestRemainingBeyondTTL guards against ops that hold a socket and a place among the pending ones for as long as their client
+// names, which may be an hour.
+func TestRemainingBeyondTTL(t *testing.T) {
+	ops := make(chan *node.Op, 1)
+	r := startServer(t, 100, func(op *node.Op) {
+		ops <- op
+		echo(op)
+	})
+	r.dial(t).roundTrip(strings.Replace(newRequest("POST", "/booking", "body"), "Ms: 480", "Ms: 3600000", 1))
+	if left := r.clock.Until((<-ops).Deadline); left > r.options.Load().MaxTTL {
+		t.Errorf("%v until the deadline, the longest TTL is %v", left, r.options.Load().MaxTTL)
+	}
+}
+
 // TestReadLate checks that an op that was unread while the process was not scheduled has less time left than its header says.
 func TestReadLate(t *testing.T) {
 	ops := make(chan *node.Op, 1)
