Frontend: reading of requests in a file of its own, with a typed error

Change: request.go has readOp, split into reading the head, the body and taking the request. A request that is not served is a *requestError, one without an answer errClientLeft. Behaviour is the same.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -5,13 +5,10 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	stdlog "log"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +47,6 @@
 	maxKillTTL  = 3 * time.Second        // longer TTLs count as this one, because the kill does not wait for them
 	exitReserve = 200 * time.Millisecond // part of killDelay that is left to close connections and to exit
 
-	statusClientLeft    = -1 // no response: the client has left
 	statusNacked        = http.StatusServiceUnavailable
 	statusDeadLettered  = http.StatusBadGateway
 	statusInternalError = http.StatusInternalServerError
@@ -260,22 +256,16 @@
 		answerReady(w, r)
 		return
 	}
-	op, status, reason := s.readOp(w, r)
-	if status == statusClientLeft {
-		panic(http.ErrAbortHandler) // closes the connection without an answer
-	}
-	if op == nil {
-		if c, ok := connOf(r); ok && !c.markRefused() {
-			panic(http.ErrAbortHandler) // this process has closed the connection
-		}
-		// A bad request may be followed by more of the same, or by a request hidden in its body, so the connection is
-		// closed. Bytes that still arrive are read for a while, because a reset would discard the answer.
-		s.sampledLog.Warn().Int("status", status).Str("reason", reason).Msg("bad request")
-		control.SetReadDeadline(time.Now().Add(minBodyTimeout))
-		w.Header().Set("Connection", "close")
-		http.Error(w, reason, status)
+	var err error
+	op, err = s.readOp(w, r)
+	var refused *requestError
+	if errors.As(err, &refused) {
+		s.refuseBadRequest(w, r, refused)
 		return
 	}
+	if err != nil {
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
 	defer s.opIDs.release(op.Header.Get(idHeader))
 	s.actor.Submit(op)
 	answer := s.awaitAnswer(r, op)
@@ -283,6 +273,19 @@
 	s.writeAnswer(w, answer)
 }
 
+// refuseBadRequest answers a request that is not served, and lets its connection be closed: it may be followed by more of the
+// same, or by a request hidden in its body. Bytes that still arrive are read for a while, because a reset would discard the
+// answer.
+func (s *Server) refuseBadRequest(w http.ResponseWriter, r *http.Request, refused *requestError) {
+	if c, ok := connOf(r); ok && !c.markRefused() {
+		panic(http.ErrAbortHandler) // this process has closed the connection
+	}
+	s.sampledLog.Warn().Int("status", refused.status).Str("reason", refused.reason).Msg("bad request")
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(minBodyTimeout))
+	w.Header().Set("Connection", "close")
+	http.Error(w, refused.reason, refused.status)
+}
+
 // answerReady answers a readiness check.
 func answerReady(w http.ResponseWriter, r *http.Request) {
 	mayAnswer := (*conn).claimRequest
@@ -325,174 +328,6 @@
 	}
 }
 
-// readOp reads an op from a request. If the request is unusable the op is nil, with the status and reason to answer.
-func (s *Server) readOp(w http.ResponseWriter, r *http.Request) (op *node.Op, status int, reason string) {
-	options := s.options.Load() // one set of settings for the whole request, which may change while it is read
-	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
-		// Given both a length and chunked encoding, the library uses the chunks and drops the length. A server that does the
-		// opposite would find another request in the body. Clients always send the length.
-		return nil, http.StatusLengthRequired, "HTTP/1.1 and a Content-Length are needed"
-	}
-	category, found := options.category(r.RequestURI)
-	if !found {
-		return nil, http.StatusNotFound, "no such category"
-	}
-	id, err := singleHeader(r.Header, idHeader)
-	if err != nil {
-		return nil, http.StatusBadRequest, err.Error()
-	}
-	remainingText, err := singleHeader(r.Header, remainingHeader)
-	if err != nil {
-		return nil, http.StatusBadRequest, err.Error()
-	}
-	milliseconds, err := strconv.ParseInt(remainingText, 10, 64)
-	if err != nil || milliseconds < 0 || milliseconds > maxRemaining.Milliseconds() {
-		return nil, http.StatusBadRequest, remainingHeader + " is not a time in whole milliseconds"
-	}
-	remaining := policy.Micros(min(time.Duration(milliseconds)*time.Millisecond, options.MaxTTL) / time.Microsecond)
-	if status, reason := checkForm(r, options.DeliverySemantics[category]); status != 0 {
-		return nil, status, reason
-	}
-	tenant, err := options.tenant(r.Header)
-	if err != nil {
-		return nil, http.StatusBadRequest, err.Error()
-	}
-	if r.ContentLength > node.MaxBodyBytes {
-		return nil, http.StatusRequestEntityTooLarge, "body is too long"
-	}
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(bodyDeadline(r)) // the body may never come
-	body, err := readBody(r)
-	if err != nil {
-		return nil, http.StatusBadRequest, "body is cut short"
-	}
-	if !s.opIDs.reserve(id) {
-		// Two ops with one id would be two runs of the same op to a server.
-		body.Release()
-		return nil, http.StatusConflict, idHeader + " is that of an op in hand"
-	}
-	// The op's remaining time counts from the arrival of its last byte. A process that was not scheduled reads the request
-	// later, and would answer after the client has given up.
-	now := s.clock.Now()
-	if c, ok := connOf(r); ok {
-		state := readTCPState(c.tcp)
-		if state.clientClosed || !c.claimRequest() {
-			// While the op waited in the backlog, for a socket or for a CPU, its client has left or this process has closed
-			// the connection. The library would notice only after the op has been pushed.
-			s.opIDs.release(id)
-			body.Release()
-			return nil, statusClientLeft, ""
-		}
-		if state.sinceLastByte > tcpInfoGranularity {
-			now -= min(policy.Micros(state.sinceLastByte/time.Microsecond), remaining)
-		}
-	}
-	control.SetReadDeadline(time.Time{}) // otherwise a timed-out read would look like a client that has left
-	op = node.NewOp()
-	op.Request = node.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
-	op.Category = category
-	op.Tenant = tenant
-	op.GenerationNumber = options.GenerationNumber
-	op.Deadline = now + remaining
-	if drain := s.drain.Load(); drain != nil {
-		op.Deadline = min(op.Deadline, drain.deadline) // an op that is unanswered at the kill is lost
-	}
-	op.ClientRetry = r.Header.Get(retryHeader) == "1"
-	if c, ok := connOf(r); ok {
-		op.Client = c
-	}
-	return op, 0, ""
-}
-
-// readBody reads the body of a request.
-func readBody(r *http.Request) (*node.Payload, error) {
-	if c, ok := connOf(r); ok && r.ContentLength > 0 {
-		c.setPhase(phaseBody)
-		defer c.setPhase(phaseHandler)
-	}
-	return node.ReadPayload(r.Body, r.ContentLength)
-}
-
-// bodyDeadline returns when the body of a request must have been read. For the first request of a connection it counts from
-// the time at which the connection was accepted.
-func bodyDeadline(r *http.Request) time.Time {
-	now := time.Now()
-	if c, ok := connOf(r); ok && !c.hadRequest {
-		c.hadRequest = true
-		return later(c.acceptedAt.Add(requestTimeout), now.Add(minBodyTimeout))
-	}
-	return now.Add(requestTimeout)
-}
-
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// singleHeader returns the value of a header that must occur exactly once and must not be empty.
-func singleHeader(header http.Header, name string) (string, error) {
-	values := header.Values(name)
-	if len(values) != 1 || values[0] == "" {
-		return "", fmt.Errorf("%s is not there once", name)
-	}
-	return values[0], nil
-}
-
-// checkForm refuses a request whose method, body or key does not match its category's delivery semantics. A server can't
-// drop duplicates of an op without a key, and a server that ignores the body of a GET would read the body as a request of
-// its own.
-func checkForm(r *http.Request, semantics policy.DeliverySemantics) (status int, reason string) {
-	method := http.MethodPost
-	if semantics == policy.Redeliverable {
-		method = http.MethodGet
-	}
-	switch {
-	case r.Method != method:
-		return http.StatusMethodNotAllowed, "this category goes by " + method
-	case method == http.MethodGet && r.ContentLength != 0:
-		return http.StatusBadRequest, "a GET has no body"
-	case semantics == policy.Deduplicated:
-		if _, err := singleHeader(r.Header, keyHeader); err != nil {
-			return http.StatusBadRequest, err.Error()
-		}
-	}
-	return 0, ""
-}
-
-// category returns the category that the first path segment names.
-func (o *Options) category(target string) (policy.CategoryID, bool) {
-	name, found := strings.CutPrefix(target, "/")
-	if end := strings.IndexAny(name, "/?"); end >= 0 {
-		name = name[:end]
-	}
-	i := slices.Index(o.Categories, name)
-	return policy.CategoryID(max(i, 0)), found && i >= 0
-}
-
-// tenant returns the tenant of a request, which the tenant header or a label gives by name or by its number in the settings.
-func (o *Options) tenant(header http.Header) (policy.TenantID, error) {
-	name := header.Get(tenantHeader)
-	for label := range strings.SplitSeq(header.Get(labelsHeader), ",") {
-		if key, value, _ := strings.Cut(strings.TrimSpace(label), "="); name == "" && key == tenantLabel {
-			name = value
-		}
-	}
-	if name == "" || len(o.Tenants) == 0 {
-		return 0, nil
-	}
-	i := slices.Index(o.Tenants, name)
-	if number, err := strconv.Atoi(name); i < 0 && err == nil {
-		i = number
-	}
-	if i < 0 || i >= len(o.Tenants) {
-		return 0, fmt.Errorf("no such tenant: %q", name)
-	}
-	return policy.TenantID(i), nil
-}
-
 // writeAnswer writes the final answer of an op and releases its body.
 func (s *Server) writeAnswer(w http.ResponseWriter, answer node.Answer) {
 	defer answer.Body.Release()
