Frontend: the states of a stopped client are tried with ids of their own

Cause: in TestOthersServedAmongStoppedClients the clients of the rows on kept connections shared one id, so some were refused (409) and did not stop as the row says. Bounds of some states were in no test.

Change: each request has an id of its own. A row for clients that await a 100 Continue is new, and TestStoppedClientsWhileNobodyWaits measures seven states that TestReadTimeouts does not have, against the server's timeouts.

--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -1,8 +1,10 @@
 package frontend
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"regexp"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +28,14 @@
 	trickle     time.Duration // one more byte after each such time; 0: nothing more is sent
 }
 
+// idPattern matches the id of a request.
+var idPattern = regexp.MustCompile("X-Txn: [0-9a-f]+")
+
+// withNewID returns the bytes of a request with an id of its own, since one id can't have two pending ops.
+func withNewID(raw string) string {
+	return idPattern.ReplaceAllString(raw, fmt.Sprintf("X-Txn: %x", lastID.Add(1)))
+}
+
 // occupy plays the client until the server closes the connection or stop is closed.
 func (b badClient) occupy(addr string, stop <-chan struct{}) {
 	netConn, err := net.Dial("tcp", addr)
@@ -34,12 +44,12 @@
 	}
 	defer netConn.Close()
 	c := newClient(netConn)
-	io.WriteString(netConn, b.first)
+	io.WriteString(netConn, withNewID(b.first))
 	for range b.answers {
 		c.readAnswer()
 	}
 	time.Sleep(b.pause)
-	io.WriteString(netConn, b.rest)
+	io.WriteString(netConn, withNewID(b.rest))
 	ended := make(chan struct{})
 	go func() {
 		io.Copy(io.Discard, c.Reader)
@@ -87,10 +97,12 @@
 		count     int    // of bad clients, in budgets
 		remaining string // of the other clients, in milliseconds
 	}{
-		"nothing sent":                {badClient{}, 5, "480"},
-		"first byte":                  {badClient{first: whole[:1]}, 5, "480"},
-		"part of the head":            {badClient{first: whole[:60]}, 5, "480"},
-		"head without its end":        {badClient{first: whole[:len(whole)-6]}, 5, "480"},
+		"nothing sent":         {badClient{}, 5, "480"},
+		"first byte":           {badClient{first: whole[:1]}, 5, "480"},
+		"part of the head":     {badClient{first: whole[:60]}, 5, "480"},
+		"head without its end": {badClient{first: whole[:len(whole)-6]}, 5, "480"},
+		"no body, 100 awaited": {badClient{first: strings.TrimSuffix(newRequest("POST", "/booking", "body", "Expect: 100-continue"), "body")},
+			5, "480"},
 		"two parts of the head":       {badClient{first: whole[:30], pause: 2 * minPause, rest: whole[30:60]}, 5, "1000"},
 		"no body":                     {badClient{first: whole[:len(whole)-4]}, 5, "480"},
 		"body without its last byte":  {badClient{first: whole[:len(whole)-1]}, 5, "480"},
@@ -128,6 +140,42 @@
 	}
 }
 
+// TestStoppedClientsWhileNobodyWaits guards against sockets that clients hold without end in the states that TestReadTimeouts
+// does not have.
+func TestStoppedClientsWhileNobodyWaits(t *testing.T) {
+	r := startServer(t, 100, echo)
+	whole := newRequest("POST", "/booking", "body")
+	kept := newRequest("GET", "/checkout", "")
+	var clients sync.WaitGroup
+	for name, c := range map[string]struct {
+		bad   badClient
+		limit time.Duration
+	}{
+		"first byte, kept connection": {badClient{first: kept, answers: 1, rest: "G"}, idleTimeout},
+		"part, kept connection":       {badClient{first: kept, answers: 1, rest: whole[:60]}, headerTimeout},
+		"body, kept connection":       {badClient{first: kept, answers: 1, rest: whole[:len(whole)-2]}, requestTimeout},
+		"no body, 100 awaited": {badClient{first: strings.TrimSuffix(newRequest("POST", "/booking", "body", "Expect: 100-continue"),
+			"body")}, requestTimeout},
+		"refused, rest of the body": {badClient{first: strings.Replace(whole, "/booking", "/elsewhere", 1)[:len(whole)-2]},
+			2 * minBodyTimeout},
+		"refused, head too long": {badClient{first: "GET /checkout HTTP/1.1\r\nX-Odd: " + strings.Repeat("x", 2*maxHeaderBytes)},
+			2 * minBodyTimeout},
+		"readiness check, no body": {badClient{first: "GET /-/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"},
+			writeTimeout},
+	} {
+		clients.Go(func() {
+			start := time.Now()
+			c.bad.occupy(r.addr, nil)
+			elapsed := time.Since(start)
+			t.Logf("%s: %v", name, elapsed)
+			if elapsed > c.limit+time.Second {
+				t.Errorf("%s: closed after %v", name, elapsed)
+			}
+		})
+	}
+	clients.Wait()
+}
+
 // sendInPieces sends a request in pieces with a pause after each, and returns the answer.
 func (c *client) sendInPieces(raw string, pieces int, pause time.Duration) string {
 	for i := range pieces {
