Frontend: a request that was just read whole is not reclaimed

Cause: TestReclaimCrossesLastByte, -race, once in three runs of the package: two first requests that came in one piece were not taken (388 taken, 390 counted), nacked as it seems: the lines above were cut off. The library begins to read in the background when it has the last byte of a body, before the handler knows; for some microseconds that looked like waiting for more of the body. No request was lost by it, and with the times of production it takes one that has been in the backlog for 0.2 s.

Change: a read of one byte is one in the background, so the connection does not wait for bytes of a request.

Result: 40 of 40 runs of the test with -race, 600 crossings each, and the package with -race twice.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -32,6 +32,7 @@
 	ending     *atomic.Bool // the process ends, and the library closes connections with requests that it has read
 
 	reading      atomic.Bool   // the library is in Read, and so will notice a disconnect
+	inBackground atomic.Bool   // the latest Read is for the next request, while one is being handled
 	state        atomic.Uint32 // connNoRequest, connHasRequest, connRefused or connClosed; changed to connClosed while holding mu
 	lastRead     atomic.Int64  // nanoseconds after acceptedAt: end of the library's latest Read
 	writingSince atomic.Int64  // nanoseconds after acceptedAt: start of the Write in progress; 0: none
@@ -141,8 +142,12 @@
 	}
 }
 
+// backgroundReadSize is how many bytes the library asks for in the background, while the handler runs, to notice a disconnect.
+const backgroundReadSize = 1
+
 // Read reads from the connection and records the activity of the library.
 func (c *conn) Read(b []byte) (int, error) {
+	c.inBackground.Store(len(b) <= backgroundReadSize)
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	if c.waitsForBytes() {
@@ -160,7 +165,7 @@
 
 // waitsForBytesLocked does the work of waitsForBytes. The caller holds mu.
 func (c *conn) waitsForBytesLocked() bool {
-	return c.reading.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
+	return c.reading.Load() && !c.inBackground.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
 }
 
 // mayRead returns an error once the connection was closed: what is read then could not be answered. The caller holds mu.
