--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -60,7 +60,7 @@
 		"the backlog is reset at shutdown":               {"../frontend/listener.go", "acceptDeadline.Before(end);", "acceptDeadline.Before(end) && false;", "internal/frontend", "TestBacklogRefused"},
 		"the ID of a lost client's op is kept":           {"../frontend/request.go", "s.opIDs.release(header.id)\n\t\tbody", "body", "internal/frontend", "TestDisconnectInBacklog"},
 		"a connection with unread bytes is closed":       {"../frontend/conn.go", " && !hasUnread(c.tcp)", "", "internal/frontend", "TestIncompleteWithUnreadBytes"},
-		"clients that stop in a request keep sockets":    {"../frontend/reclaim.go", "rankAfter(graces.stalled,", "rankAfter(time.Hour,", "internal/frontend", "TestOthersServedAmongStoppedClients"},
+		"clients that stop in a request keep sockets":    {"../frontend/reclaim.go", "rankAfter(times.stalled,", "rankAfter(time.Hour,", "internal/frontend", "TestOthersServedAmongStoppedClients"},
 		"an unfinished request is closed unanswered":     {"../frontend/conn.go", "if c.requestStarted.IsZero() {\n\t\treturn", "if true {\n\t\treturn", "internal/frontend", "TestCloseCrossesLastByte"},
 		"idle connections make room for stopped ones":    {"../frontend/reclaim.go", "if spareIdle {", "if spareIdle && false {", "internal/frontend", "TestSlowClientsAmongStoppedClients"},
 		"the end closes requests without an answer":      {"../frontend/conn.go", "c.state.Swap(connClosed) == connNoRequest && c.ending.Load()", "c.state.Swap(connClosed) == connNoRequest && false", "internal/frontend", "TestCompletedDuringShutdown"},
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -86,7 +86,7 @@
 }
 
 // candidate returns the connection as a candidate; its rank may be reclaimNever. The caller holds mu.
-func (c *conn) candidate(now time.Time, graces graces) reclaimCandidate {
+func (c *conn) candidate(now time.Time, times graces) reclaimCandidate {
 	rankAfter := func(grace time.Duration, rank reclaimRank, since time.Time) reclaimCandidate {
 		if now.Sub(since) < grace {
 			rank = reclaimNever
@@ -107,18 +107,18 @@
 	case use == useIdle && waitsForBytes:
 		return rankAfter(0, reclaimIdle, c.lastByteAt)
 	case use == usePartial && waitsForBytes && !c.resumed:
-		return rankAfter(graces.stalled, reclaimStalled, c.lastByteAt)
-	case use == usePartial && waitsForBytes && now.Sub(c.lastByteAt) >= graces.paused:
+		return rankAfter(times.stalled, reclaimStalled, c.lastByteAt)
+	case use == usePartial && waitsForBytes && now.Sub(c.lastByteAt) >= times.paused:
 		return reclaimCandidate{c, reclaimPaused, c.lastByteAt}
 	case use == usePartial && waitsForBytes:
-		return rankAfter(graces.slow, reclaimSlow, c.requestStarted)
+		return rankAfter(times.slow, reclaimSlow, c.requestStarted)
 	}
 	return reclaimCandidate{conn: c}
 }
 
 // reclaim closes a connection if it still has the rank that it was selected for.
-func (c *conn) reclaim(rank reclaimRank, graces graces) bool {
-	hasRank := func() bool { return c.candidate(time.Now(), graces).rank == rank }
+func (c *conn) reclaim(rank reclaimRank, times graces) bool {
+	hasRank := func() bool { return c.candidate(time.Now(), times).rank == rank }
 	switch rank {
 	case reclaimUnread:
 		c.mu.Lock()
@@ -142,9 +142,9 @@
 	s.mu.Lock()
 	stuck := min(shortage.lasted, now.Sub(s.lastReclaim))
 	s.mu.Unlock()
-	graces := newGraces(usualGrace, shortage.waited, stuck)
-	for _, candidate := range s.reclaimCandidates(now, graces) {
-		if candidate.conn.reclaim(candidate.rank, graces) {
+	times := newGraces(usualGrace, shortage.waited, stuck)
+	for _, candidate := range s.reclaimCandidates(now, times) {
+		if candidate.conn.reclaim(candidate.rank, times) {
 			if candidate.rank != reclaimPaused && candidate.rank != reclaimSlow {
 				s.mu.Lock()
 				s.lastReclaim = now
@@ -159,13 +159,13 @@
 //
 // Idle connections are spared while at least half of all connections have no complete request: these hold the sockets, and
 // their times end soon. The clients of idle connections would have to wait in the backlog with all others.
-func (s *openConnSet) reclaimCandidates(now time.Time, graces graces) []reclaimCandidate {
+func (s *openConnSet) reclaimCandidates(now time.Time, times graces) []reclaimCandidate {
 	var candidates []reclaimCandidate
 	var counts useCounts
 	s.mu.Lock()
 	for clientConn := range s.conns {
 		clientConn.mu.Lock()
-		if candidate := clientConn.candidate(now, graces); candidate.rank != reclaimNever {
+		if candidate := clientConn.candidate(now, times); candidate.rank != reclaimNever {
 			candidates = append(candidates, candidate)
 		}
 		counts[clientConn.use()]++
