--- /dev/null
+++ b/review/6/main.go
@@ -0,0 +1,164 @@
+// Case 6: among clients that stop in the middle of a request, the usual clients of a node with 1,024 descriptors get no answer.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"canvasrouter/review/rig2"
+)
+
+const (
+	users       = 60                     // usual clients, with one connection each
+	think       = 100 * time.Millisecond // from an answer to a client's next request
+	ttl         = 1200 * time.Millisecond
+	patience    = 3 * time.Second        // how long a client waits until it calls the answer missing
+	lateBy      = 500 * time.Millisecond // up to this after its time an answer only earns nothing
+	slack       = 50 * time.Millisecond  // of each time limit on sockets
+	stoppers    = 900                    // clients that stop in the middle of a request
+	headLength  = 15000                  // of their heads
+	quietBefore = 2 * time.Second
+	duration    = 20 * time.Second
+)
+
+// crowd is the variable that holds the node's address in the process of the clients that stop.
+const crowd = "CROWD"
+
+func main() {
+	if addr := os.Getenv(crowd); addr != "" {
+		stopInRequests(addr)
+		return
+	}
+	c := rig2.Start()
+	var list []rig2.Instance
+	for i := range 10 {
+		server := c.StartServer(fmt.Sprintf("s-%04x", i), i/4, func(a *rig2.Arrival) bool {
+			time.Sleep(30 * time.Millisecond)
+			fmt.Fprint(a.Conn, rig2.Ok("made for "+a.ID))
+			return true
+		})
+		list = append(list, server.Instance)
+	}
+	registry := c.StartRegistry(list)
+	node := c.StartNode("n1", rig2.Config(c.FreeAddr(), registry.Addr, registry.List(), 192, 1024, rig2.Settings(rig2.Mty()...)))
+	var sent, answered, late, missing, crossed atomic.Int64
+	end := time.Now().Add(quietBefore + duration)
+	var all sync.WaitGroup
+	for user := range users {
+		all.Go(func() {
+			client := &client{addr: node.Addr}
+			defer client.close()
+			for number := 0; time.Now().Before(end); number++ {
+				id := fmt.Sprintf("%08x%08x", user, number)
+				request := rig2.Request("booking", id, strings.Repeat("0", 16)+id, ttl, "a booking")
+				sent.Add(1)
+				status, took, err := client.do(request)
+				c.Log("client %d, request %s: %d after %.3f s, %v", user, id, status, took.Seconds(), err)
+				switch {
+				case errors.Is(err, os.ErrDeadlineExceeded):
+					missing.Add(1)
+				case err != nil:
+					crossed.Add(1)
+				case took > ttl+lateBy+slack+c.Lag():
+					late.Add(1)
+				default:
+					answered.Add(1)
+				}
+				time.Sleep(think)
+			}
+		})
+	}
+	if c.Trouble {
+		time.Sleep(quietBefore)
+		c.Log("%d clients begin to stop in the middle of requests", stoppers)
+		c.StartSelf(crowd + "=" + node.Addr)
+	}
+	all.Wait()
+	select {
+	case <-node.Ended:
+		c.Say("the node has ended")
+		c.End(rig2.Broken)
+	default:
+	}
+	c.Say("%d requests of usual clients: %d answered within %v and %v, %d later, %d not within %v, %d on connections closed twice",
+		sent.Load(), answered.Load(), ttl, lateBy+slack, late.Load(), missing.Load(), patience, crossed.Load())
+	if late.Load()+missing.Load() > 0 {
+		c.Say("the rule was broken: requests had no answer half a second after their time")
+		c.End(rig2.Broken)
+	}
+	c.Say("the rule held")
+	c.End(rig2.Held)
+}
+
+// client is a usual client. It keeps its connection.
+type client struct {
+	addr string
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+// do sends a request and returns the status of its answer, and how long that took from the request's last byte on. A request
+// whose connection has been closed without an answer is sent once more, on a new connection.
+func (c *client) do(request string) (status int, took time.Duration, err error) {
+	for range 2 {
+		if c.conn == nil {
+			if c.conn, err = net.DialTimeout("tcp", c.addr, patience); err != nil {
+				return 0, 0, err
+			}
+			c.in = bufio.NewReader(c.conn)
+		}
+		start := time.Now()
+		status, _, err = rig2.Exchange(c.conn, c.in, request, patience)
+		took = time.Since(start)
+		if err == nil {
+			return status, took, nil
+		}
+		c.close()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return 0, took, err
+		}
+	}
+	return 0, took, err
+}
+
+// close closes the connection.
+func (c *client) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
+
+// stopInRequests plays the clients that stop: each sends all of a request but its last byte, waits for an error or a close, and
+// does the same again.
+func stopInRequests(addr string) {
+	end := time.Now().Add(duration)
+	var all sync.WaitGroup
+	for stopper := range stoppers {
+		all.Go(func() {
+			for number := 0; time.Now().Before(end); number++ {
+				conn, err := net.DialTimeout("tcp", addr, patience)
+				if err != nil {
+					time.Sleep(think)
+					continue
+				}
+				id := fmt.Sprintf("f%07x%08x", stopper, number)
+				request := rig2.Request("booking", id, strings.Repeat("1", 16)+id, ttl, "a booking")
+				request = strings.Replace(request, "Host:", "X-Note: "+strings.Repeat("n", headLength)+"\r\nHost:", 1)
+				conn.SetDeadline(time.Now().Add(2 * patience))
+				if _, err = conn.Write([]byte(request[:len(request)-1])); err == nil {
+					conn.Read(make([]byte, 512))
+				}
+				conn.Close()
+			}
+		})
+	}
+	all.Wait()
+}
