--- a/review/rig2/parts.go
+++ b/review/rig2/parts.go
@@ -155,9 +155,7 @@
 	Target    string
 	Remaining string
 	Body      []byte
-	Conn      net.Conn      // the connection that it came on
-	In        *bufio.Reader // what else comes on it
-	Number    int           // of the request on its connection, from 1
+	Conn      net.Conn // the connection that it came on
 }
 
 // Server is a stand-in for a server. It reads requests and leaves what is answered to Answer, which returns false to close the
@@ -189,24 +187,29 @@
 func (s *Server) serve(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
-	for number := 1; ; number++ {
-		request, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(request.Body)
-		if err != nil {
-			return
-		}
-		a := &Arrival{At: s.c.Now(), Server: s.ID, ID: request.Header.Get("X-Txn"), Key: request.Header.Get("Idempotency-Key"),
-			Method: request.Method, Target: request.RequestURI, Remaining: request.Header.Get("X-Remaining-Ms"),
-			Body: body, Conn: conn, In: in, Number: number}
-		if !s.Answer(a) {
+	for {
+		a, err := s.c.ReadArrival(s.ID, conn, in)
+		if err != nil || !s.Answer(a) {
 			return
 		}
 	}
 }
 
+// ReadArrival reads one whole request that comes to a server.
+func (c *Case) ReadArrival(server string, conn net.Conn, in *bufio.Reader) (*Arrival, error) {
+	request, err := http.ReadRequest(in)
+	if err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, err
+	}
+	return &Arrival{At: c.Now(), Server: server, ID: request.Header.Get("X-Txn"), Key: request.Header.Get("Idempotency-Key"),
+		Method: request.Method, Target: request.RequestURI, Remaining: request.Header.Get("X-Remaining-Ms"),
+		Body: body, Conn: conn}, nil
+}
+
 // Ok is a whole 200 answer.
 func Ok(body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
