--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,4 +1,4 @@
-// Case 6: among clients that stop in the middle of a request, the usual clients of a node with 1,024 descriptors get no answer.
+// Case 6: among some hundred clients that send heads without end, usual clients get no answer.
 package main
 
 import (
@@ -22,18 +22,17 @@
 	patience    = 3 * time.Second        // how long a client waits until it calls the answer missing
 	lateBy      = 500 * time.Millisecond // up to this after its time an answer only earns nothing
 	slack       = 50 * time.Millisecond  // of each time limit on sockets
-	stoppers    = 900                    // clients that stop in the middle of a request
-	headLength  = 15000                  // of their heads
+	badClients  = 900                    // clients that send heads without end
 	quietBefore = 2 * time.Second
 	duration    = 20 * time.Second
 )
 
-// crowd is the variable that holds the node's address in the process of the clients that stop.
+// crowd is the variable that holds the node's address in the process of the bad clients.
 const crowd = "CROWD"
 
 func main() {
 	if addr := os.Getenv(crowd); addr != "" {
-		stopInRequests(addr)
+		sendEndlessHeads(addr)
 		return
 	}
 	c := rig2.Start()
@@ -77,7 +76,7 @@
 	}
 	if c.Trouble {
 		time.Sleep(quietBefore)
-		c.Log("%d clients begin to stop in the middle of requests", stoppers)
+		c.Log("%d clients begin to send heads without end", badClients)
 		c.StartSelf(crowd + "=" + node.Addr)
 	}
 	all.Wait()
@@ -136,25 +135,28 @@
 	}
 }
 
-// stopInRequests plays the clients that stop: each sends all of a request but its last byte, waits for an error or a close, and
-// does the same again.
-func stopInRequests(addr string) {
+// sendEndlessHeads plays the bad clients: each sends a head without end, at full speed, until it is sent something or the
+// connection is closed, and does the same again.
+func sendEndlessHeads(addr string) {
 	end := time.Now().Add(duration)
+	lines := []byte(strings.Repeat("X-Note: "+strings.Repeat("n", 1000)+"\r\n", 4))
 	var all sync.WaitGroup
-	for stopper := range stoppers {
+	for range badClients {
 		all.Go(func() {
-			for number := 0; time.Now().Before(end); number++ {
+			for time.Now().Before(end) {
 				conn, err := net.DialTimeout("tcp", addr, patience)
 				if err != nil {
 					time.Sleep(think)
 					continue
 				}
-				id := fmt.Sprintf("f%07x%08x", stopper, number)
-				request := rig2.Request("booking", id, strings.Repeat("1", 16)+id, ttl, "a booking")
-				request = strings.Replace(request, "Host:", "X-Note: "+strings.Repeat("n", headLength)+"\r\nHost:", 1)
 				conn.SetDeadline(time.Now().Add(2 * patience))
-				if _, err = conn.Write([]byte(request[:len(request)-1])); err == nil {
+				go func() {
 					conn.Read(make([]byte, 512))
+					conn.Close()
+				}()
+				_, err = conn.Write([]byte("GET /availability HTTP/1.1\r\nHost: backend.local\r\n"))
+				for err == nil {
+					_, err = conn.Write(lines)
 				}
 				conn.Close()
 			}
