--- a/review/7/main.go
+++ b/review/7/main.go
@@ -41,6 +41,7 @@
 
 func main() {
 	c := rig2.Start()
+	c.CheckLate()
 	cells := []*cell{{ran: map[string]time.Duration{}}, {ran: map[string]time.Duration{}}, {ran: map[string]time.Duration{}}}
 	var servers []*server
 	var list []rig2.Instance
--- a/review/rig2/late.go
+++ b/review/rig2/late.go
@@ -1,6 +1,8 @@
 package rig2
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -81,3 +83,26 @@
 	l.clogged = nil
 	l.mu.Unlock()
 }
+
+// CheckLate ends the case if connections can't be made to come up late on this machine.
+func (c *Case) CheckLate() {
+	l := c.ListenLate()
+	defer l.Close()
+	go func() {
+		for {
+			if _, err := l.Accept(); err != nil {
+				return
+			}
+		}
+	}()
+	l.Clog()
+	time.AfterFunc(500*time.Millisecond, l.Unclog)
+	start := time.Now()
+	conn, err := net.DialTimeout("tcp", l.Addr().String(), 2*time.Second)
+	if err == nil {
+		conn.Close()
+	}
+	if took := time.Since(start); err != nil || took < 900*time.Millisecond || took > 1150*time.Millisecond {
+		c.Check(fmt.Errorf("a late connection took %v: %w", took, errors.Join(errors.New("not about 1 s"), err)))
+	}
+}
