--- a/review/7/main.go
+++ b/review/7/main.go
@@ -22,7 +22,7 @@
 	slowFor = 2500 * time.Millisecond // that a slow server takes
 	lateAt  = 1100 * time.Millisecond // after a slow server has begun, the connections to another one come up late
 	lateFor = 600 * time.Millisecond  // for which that one's queue is full
-	trials  = 8
+	trials  = 12
 )
 
 // cell is what the servers of one cell know together: the keys that they have run, and when first.
