Frontend: work for one event no longer grows with the number of connections

Cause: while one connection waited for a socket, each Read of each other connection looked through all open ones (conn.onWaiting, then openConnSet.reclaimCandidates: a lock for each, a sort, TCP_INFO for refused ones). A log line tells now how many connections were looked at.

Change: connections stand in queues by the rank for which they can be closed (reclaimQueue). An event moves one connection, and an attempt looks at the front of each queue, four connections of a rank at the most. Only a connection that becomes idle makes the node look at once; all other ranks become due by time, and the one that waits tries again after 25 ms as before.

The client's close of a refused connection is no longer asked for; it is closed after its 25 ms.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -27,8 +27,9 @@
 	tcp        *net.TCPConn
 	raw        syscall.RawConn // nil if the kernel can't be asked
 	acceptedAt time.Time
-	hadRequest bool         // bodyDeadline was called for the first request; used by the handler only
-	onWaiting  func()       // called when the library waits for bytes of a request
+	hadRequest bool // bodyDeadline was called for the first request; used by the handler only
+	budget     *sockets.Budget
+	set        *openConnSet // holds the connection while it is open; nil in tests of a connection alone
 	ending     *atomic.Bool // the process ends, and the library closes connections with requests that it has read
 
 	reading      atomic.Bool   // the library is in Read, and so will notice a disconnect
@@ -45,6 +46,8 @@
 	lastByteAt     time.Time // when the client was last heard of: its last byte or, before the first, its connecting
 	refusedAt      time.Time // when the connection became connRefused
 
+	places [reclaimRankCount]reclaimPlace // guarded by the mu of the set
+
 	// disconnectTimer is for disconnects that the library does not notice. Only the handler uses it; its first op creates it.
 	disconnectTimer *time.Timer
 }
@@ -59,9 +62,9 @@
 )
 
 // newConn returns a connection that was accepted within a budget.
-func newConn(tcp *net.TCPConn, budget *sockets.Budget, ending *atomic.Bool) *conn {
+func newConn(tcp *net.TCPConn, budget *sockets.Budget, set *openConnSet, ending *atomic.Bool) *conn {
 	now := time.Now()
-	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, onWaiting: budget.NotifyIdle, ending: ending}
+	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, budget: budget, set: set, ending: ending}
 	c.raw, _ = tcp.SyscallConn()
 	c.lastByteAt = now.Add(-readTCPState(tcp).sinceLastByte) // the connection may have waited in the backlog
 	return c
@@ -74,6 +77,7 @@
 	if c.state.Swap(connClosed) == connNoRequest && c.ending.Load() {
 		c.nackUnfinished()
 	}
+	c.refile()
 	c.mu.Unlock()
 	return c.Conn.Close()
 }
@@ -93,6 +97,7 @@
 		return false
 	}
 	c.requestStarted = time.Time{}
+	c.refile()
 	return true
 }
 
@@ -104,6 +109,7 @@
 		return false
 	}
 	c.refusedAt = time.Now()
+	c.refile()
 	return true
 }
 
@@ -114,6 +120,7 @@
 	defer c.mu.Unlock()
 	if c.phase == phaseHandler && c.state.CompareAndSwap(connNoRequest, connRefused) {
 		c.refusedAt = time.Now()
+		c.refile()
 	}
 }
 
@@ -125,6 +132,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.phase = phase
+	c.refile()
+}
+
+// refile tells the set of open connections what the connection is held for now. The caller holds mu.
+func (c *conn) refile() {
+	if c.set != nil {
+		c.set.refile(c)
+	}
 }
 
 // stateChanged records a new state that the library reports.
@@ -140,6 +155,7 @@
 		c.lastByteAt = time.Now()
 		c.state.CompareAndSwap(connHasRequest, connNoRequest) // the answer has been written
 	}
+	c.refile()
 }
 
 // backgroundReadSize is how many bytes the library asks for in the background, while the handler runs, to notice a disconnect.
@@ -150,21 +166,21 @@
 	c.inBackground.Store(len(b) <= backgroundReadSize)
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	if c.waitsForBytes() {
-		c.onWaiting()
+	if c.isIdle() {
+		c.budget.NotifyIdle()
 	}
 	return sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
 }
 
-// waitsForBytes reports whether the library waits for bytes of a request.
-func (c *conn) waitsForBytes() bool {
+// isIdle reports whether the library waits for the next request.
+func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.waitsForBytesLocked()
+	return c.use() == useIdle && c.waitsForBytes()
 }
 
-// waitsForBytesLocked does the work of waitsForBytes. The caller holds mu.
-func (c *conn) waitsForBytesLocked() bool {
+// waitsForBytes reports whether the library waits for bytes of a request. The caller holds mu.
+func (c *conn) waitsForBytes() bool {
 	return c.reading.Load() && !c.inBackground.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
 }
 
@@ -202,6 +218,7 @@
 	} else if c.lastByteAt.Sub(previousByteAt) >= minPause {
 		c.resumed = true
 	}
+	c.refile()
 	return len(b), err
 }
 
@@ -212,11 +229,19 @@
 		return 0, err
 	}
 	c.markLibraryRefusal()
-	c.writingSince.Store(int64(time.Since(c.acceptedAt)))
-	defer c.writingSince.Store(0)
+	c.setWritingSince(int64(time.Since(c.acceptedAt)))
+	defer c.setWritingSince(0)
 	return c.Conn.Write(b)
 }
 
+// setWritingSince records the start of a Write, or its end with 0.
+func (c *conn) setWritingSince(start int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writingSince.Store(start)
+	c.refile()
+}
+
 // refusalAnswer is the answer to a request that is given up before it is complete. It is a nack: nothing of it was pushed.
 var refusalAnswer = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 	statusNacked, http.StatusText(statusNacked))
@@ -247,6 +272,7 @@
 	default:
 		closing = c.state.CompareAndSwap(connRefused, connClosed)
 	}
+	c.refile()
 	c.mu.Unlock()
 	if closing {
 		c.Close()
--- a/internal/frontend/connset.go
+++ b/internal/frontend/connset.go
@@ -4,14 +4,18 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // openConnSet holds the open connections.
 type openConnSet struct {
-	mu          sync.Mutex // guards the fields below
+	checks atomic.Int64 // connections looked at so far because another one waited for a socket
+
+	mu          sync.Mutex // guards the fields below; may be locked while holding the mu of a connection, not the reverse
 	conns       map[*conn]bool
-	lastReclaim time.Time // when a connection was closed to free its socket, other than one whose client was seen to go on
+	queues      [reclaimRankCount]reclaimQueue // the same connections by what they can be closed for
+	lastReclaim time.Time                      // when a connection was closed to free its socket, other than one whose client was seen to go on
 }
 
 // stateChanged updates the set when the HTTP library changes the state of a connection.
@@ -20,17 +24,55 @@
 	if !ok {
 		return
 	}
-	clientConn.stateChanged(state)
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	switch state {
 	case http.StateNew:
-		if s.conns == nil {
-			s.conns = make(map[*conn]bool)
-		}
-		s.conns[clientConn] = true
+		s.add(clientConn)
 	case http.StateClosed, http.StateHijacked:
-		delete(s.conns, clientConn)
+		s.remove(clientConn)
+	default:
+		clientConn.stateChanged(state)
+	}
+}
+
+// add adds a new connection.
+func (s *openConnSet) add(clientConn *conn) {
+	clientConn.mu.Lock()
+	defer clientConn.mu.Unlock()
+	s.mu.Lock()
+	if s.conns == nil {
+		s.conns = make(map[*conn]bool)
+	}
+	s.conns[clientConn] = true
+	s.mu.Unlock()
+	s.refile(clientConn)
+}
+
+// remove removes a connection that has ended.
+func (s *openConnSet) remove(clientConn *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, clientConn)
+	for rank := range clientConn.places {
+		clientConn.places[rank].remove()
+	}
+}
+
+// refile puts a connection into the queues of the ranks that it has. It is called after each change of what these depend on,
+// while holding the mu of the connection.
+func (s *openConnSet) refile(clientConn *conn) {
+	times := clientConn.reclaimTimes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.conns[clientConn] {
+		return
+	}
+	for rank, since := range times {
+		place := &clientConn.places[rank]
+		if since.IsZero() {
+			place.remove()
+			continue
+		}
+		s.queues[rank].put(place, reclaimEntry{clientConn, since}, clientConn.served)
 	}
 }
 
@@ -45,11 +87,11 @@
 func (s *openConnSet) countUses() (counts useCounts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for clientConn := range s.conns {
-		clientConn.mu.Lock()
-		counts[clientConn.use()]++
-		clientConn.mu.Unlock()
-	}
+	counts[useRefused] = s.queues[reclaimRefused].length()
+	counts[useSilent] = s.queues[reclaimSilent].length()
+	counts[usePartial] = s.queues[reclaimStalled].length() + s.queues[reclaimPaused].length()
+	counts[useIdle] = s.queues[reclaimIdle].length()
+	counts[usePending] = len(s.conns) - counts[useRefused] - counts[useSilent] - counts[usePartial] - counts[useIdle]
 	return counts
 }
 
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -30,6 +30,7 @@
 type listener struct {
 	*net.TCPListener
 	budget          *sockets.Budget
+	openConns       *openConnSet
 	ctx             context.Context // done when no more connections are to be accepted
 	cancel          context.CancelFunc
 	emptyingBacklog bool                       // drainAcceptTime has passed
@@ -42,9 +43,10 @@
 }
 
 // newListener returns a listener that accepts connections within a budget.
-func newListener(tcp *net.TCPListener, budget *sockets.Budget, onShortage func(waited time.Duration)) *listener {
+func newListener(tcp *net.TCPListener, budget *sockets.Budget, openConns *openConnSet,
+	onShortage func(waited time.Duration)) *listener {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &listener{TCPListener: tcp, budget: budget, ctx: ctx, cancel: cancel, onShortage: onShortage}
+	return &listener{TCPListener: tcp, budget: budget, openConns: openConns, ctx: ctx, cancel: cancel, onShortage: onShortage}
 }
 
 // Accept accepts a connection, and waits until a socket of the budget is free for it. During a drain it empties the backlog,
@@ -66,7 +68,7 @@
 				l.refuseBacklog(tcp)
 				return nil, net.ErrClosed
 			}
-			return newConn(tcp, l.budget, &l.ending), nil
+			return newConn(tcp, l.budget, l.openConns, &l.ending), nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && !l.emptyingBacklog:
 			// Closing the listener now would reset the connections in the backlog.
 			l.emptyingBacklog = true
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -1,9 +1,7 @@
 package frontend
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -25,41 +23,33 @@
 	slowTransferLimit = 500 * time.Millisecond
 	// reclaimInterval is the time between two attempts to reclaim a socket for a connection that waits.
 	reclaimInterval = 25 * time.Millisecond
+	// maxReclaimChecks limits the connections of a rank that are looked at in one attempt. Bytes may have arrived on those that
+	// were silent for longest, or their goroutines may be about to run.
+	maxReclaimChecks = 4
 )
 
 // reclaimRank is the order in which sockets are reclaimed. Connections without a chance of a good request come first.
 type reclaimRank int
 
 const (
-	reclaimNever   reclaimRank = iota // pending, being processed, or within its grace
-	reclaimRefused                    // a bad request was answered
-	reclaimSilent                     // nothing was sent on a new connection
-	reclaimStalled                    // the client has stopped in the middle of a request
-	reclaimIdle                       // between two requests
-	reclaimPaused                     // the client has stopped in a request, but has paused and gone on before
-	reclaimUnread                     // the client does not read its answer
-	reclaimSlow                       // a request that keeps arriving slowly
+	reclaimRefused   reclaimRank = iota // a bad request was answered
+	reclaimSilent                       // nothing was sent on a new connection
+	reclaimStalled                      // the client has stopped in the middle of a request
+	reclaimIdle                         // between two requests
+	reclaimPaused                       // the client has stopped in a request, but has paused and gone on before
+	reclaimUnread                       // the client does not read its answer
+	reclaimSlow                         // a request that keeps arriving slowly
+	reclaimRankCount                    // number of ranks
 )
 
-// reclaimCandidate is a connection whose socket can be reclaimed.
-type reclaimCandidate struct {
-	conn  *conn
-	rank  reclaimRank
-	since time.Time // earlier ones are reclaimed first among those of a rank
-}
-
 // shortage describes how connections wait for a socket.
 type shortage struct {
 	waited time.Duration // since the last byte of the connection that waits, including its time in the backlog
 	lasted time.Duration // since connections began to wait, one after the other
 }
 
-// graces are the times that a client has for an incomplete request while another connection waits.
-type graces struct {
-	stalled time.Duration // without a byte
-	paused  time.Duration // without a byte, if it has paused and gone on before
-	slow    time.Duration // from its first byte on, although bytes keep coming
-}
+// graces are the times after which a connection can be closed while another one waits, by its rank.
+type graces [reclaimRankCount]time.Duration
 
 // usualGrace returns how long a client may send nothing in the middle of a request while others do not wait longer themselves.
 func (o *Options) usualGrace() time.Duration {
@@ -74,110 +64,132 @@
 // first and then stop could follow each other without end. Clients that were seen to go on are closed only if there are none of
 // these.
 func newGraces(usual, waited, stuck time.Duration) graces {
-	times := graces{stalled: usual, paused: math.MaxInt64, slow: math.MaxInt64}
+	times := graces{
+		reclaimRefused: refusedGrace,
+		reclaimSilent:  newConnGrace,
+		reclaimStalled: usual,
+		reclaimIdle:    0,
+		reclaimPaused:  math.MaxInt64,
+		reclaimUnread:  slowTransferLimit,
+		reclaimSlow:    math.MaxInt64,
+	}
 	if waited > usual {
-		times.stalled = max(minStalledGrace, 2*usual-waited)
+		times[reclaimStalled] = max(minStalledGrace, 2*usual-waited)
 	}
 	if stuck > usual {
-		times.paused = times.stalled
-		times.slow = slowTransferLimit
+		times[reclaimPaused] = times[reclaimStalled]
+		times[reclaimSlow] = slowTransferLimit
 	}
 	return times
 }
 
-// candidate returns the connection as a candidate; its rank may be reclaimNever. The caller holds mu.
-func (c *conn) candidate(now time.Time, times graces) reclaimCandidate {
-	rankAfter := func(grace time.Duration, rank reclaimRank, since time.Time) reclaimCandidate {
-		if now.Sub(since) < grace {
-			rank = reclaimNever
+// reclaimTimes returns from when on the connection has each rank; the time is zero for the ranks that it does not have. The
+// caller holds mu.
+func (c *conn) reclaimTimes() (since [reclaimRankCount]time.Time) {
+	if c.state.Load() == connClosed {
+		return since
+	}
+	switch c.use() {
+	case useRefused:
+		since[reclaimRefused] = c.refusedAt
+	case useSilent:
+		since[reclaimSilent] = c.lastByteAt
+	case useIdle:
+		since[reclaimIdle] = c.lastByteAt
+	case usePending:
+		if start := c.writingSince.Load(); start > 0 {
+			since[reclaimUnread] = c.acceptedAt.Add(time.Duration(start))
+		}
+	case usePartial:
+		if !c.resumed {
+			since[reclaimStalled] = c.lastByteAt
+			break
 		}
-		return reclaimCandidate{c, rank, since}
+		since[reclaimPaused] = c.lastByteAt
+		since[reclaimSlow] = c.requestStarted
 	}
-	use := c.use()
-	waitsForBytes := c.waitsForBytesLocked()
-	switch {
-	case use == useRefused && c.Disconnected():
-		return rankAfter(0, reclaimRefused, c.refusedAt)
-	case use == useRefused:
-		return rankAfter(refusedGrace, reclaimRefused, c.refusedAt)
-	case use == usePending && c.writingSince.Load() > 0:
-		return rankAfter(slowTransferLimit, reclaimUnread, c.acceptedAt.Add(time.Duration(c.writingSince.Load())))
-	case use == useSilent && waitsForBytes:
-		return rankAfter(newConnGrace, reclaimSilent, c.lastByteAt)
-	case use == useIdle && waitsForBytes:
-		return rankAfter(0, reclaimIdle, c.lastByteAt)
-	case use == usePartial && waitsForBytes && !c.resumed:
-		return rankAfter(times.stalled, reclaimStalled, c.lastByteAt)
-	case use == usePartial && waitsForBytes && now.Sub(c.lastByteAt) >= times.paused:
-		return reclaimCandidate{c, reclaimPaused, c.lastByteAt}
-	case use == usePartial && waitsForBytes:
-		return rankAfter(times.slow, reclaimSlow, c.requestStarted)
+	return since
+}
+
+// canReclaim reports whether the connection has a rank, and its grace is over. A connection whose bytes the library is
+// processing is not waiting for its client. The caller holds mu.
+func (c *conn) canReclaim(rank reclaimRank, times graces) bool {
+	since := c.reclaimTimes()[rank]
+	if since.IsZero() || time.Since(since) < times[rank] {
+		return false
 	}
-	return reclaimCandidate{conn: c}
+	return rank == reclaimRefused || rank == reclaimUnread || c.waitsForBytes()
 }
 
 // reclaim closes a connection if it still has the rank that it was selected for.
 func (c *conn) reclaim(rank reclaimRank, times graces) bool {
-	hasRank := func() bool { return c.candidate(time.Now(), times).rank == rank }
+	canReclaim := func() bool { return c.canReclaim(rank, times) }
 	switch rank {
 	case reclaimUnread:
 		c.mu.Lock()
-		closing := hasRank() && c.state.CompareAndSwap(connHasRequest, connClosed)
+		closing := canReclaim() && c.state.CompareAndSwap(connHasRequest, connClosed)
 		c.mu.Unlock()
 		if closing {
 			c.Close()
 		}
 		return closing
 	case reclaimRefused, reclaimSlow:
-		return c.closeUnfinished(hasRank)
+		return c.closeUnfinished(canReclaim)
 	default:
-		return c.closeUnfinished(func() bool { return hasRank() && !hasUnread(c.tcp) })
+		return c.closeUnfinished(func() bool { return canReclaim() && !hasUnread(c.tcp) })
 	}
 }
 
 // reclaimSocket closes the connection that is least likely to bring a good request or to get its answer, because another one
-// waits for a socket. If none can be closed yet, it does nothing: the caller tries again after reclaimInterval.
+// waits for a socket. If none can be closed yet, it does nothing: the caller tries again after reclaimInterval. The work does
+// not depend on how many connections are open: bad clients can cause a shortage as often as they connect.
 func (s *openConnSet) reclaimSocket(shortage shortage, usualGrace time.Duration) {
 	now := time.Now()
 	s.mu.Lock()
 	stuck := min(shortage.lasted, now.Sub(s.lastReclaim))
 	s.mu.Unlock()
 	times := newGraces(usualGrace, shortage.waited, stuck)
-	for _, candidate := range s.reclaimCandidates(now, times) {
-		if candidate.conn.reclaim(candidate.rank, times) {
-			if candidate.rank != reclaimPaused && candidate.rank != reclaimSlow {
-				s.mu.Lock()
-				s.lastReclaim = now
-				s.mu.Unlock()
-			}
-			return
+	for rank := range reclaimRankCount {
+		if rank == reclaimIdle && s.sparesIdle() || !s.reclaimRank(rank, times) {
+			continue
 		}
+		if rank != reclaimPaused && rank != reclaimSlow {
+			s.mu.Lock()
+			s.lastReclaim = now
+			s.mu.Unlock()
+		}
+		return
 	}
 }
 
-// reclaimCandidates returns the connections that can be closed, in the order in which to close them.
-//
-// Idle connections are spared while at least half of all connections have no complete request: these hold the sockets, and
-// their times end soon. The clients of idle connections would have to wait in the backlog with all others.
-func (s *openConnSet) reclaimCandidates(now time.Time, times graces) []reclaimCandidate {
-	var candidates []reclaimCandidate
-	var counts useCounts
-	s.mu.Lock()
-	for clientConn := range s.conns {
-		clientConn.mu.Lock()
-		if candidate := clientConn.candidate(now, times); candidate.rank != reclaimNever {
-			candidates = append(candidates, candidate)
+// reclaimRank closes the connection that has exceeded the grace of a rank for longest, if one has.
+func (s *openConnSet) reclaimRank(rank reclaimRank, times graces) bool {
+	for range maxReclaimChecks {
+		s.mu.Lock()
+		candidate := s.queues[rank].first(time.Now(), times[rank])
+		s.mu.Unlock()
+		if candidate == nil {
+			return false
 		}
-		counts[clientConn.use()]++
-		clientConn.mu.Unlock()
+		s.checks.Add(1)
+		if candidate.reclaim(rank, times) {
+			return true
+		}
+		s.mu.Lock()
+		candidate.places[rank].postpone()
+		s.mu.Unlock()
 	}
-	spareIdle := 2*(counts[useSilent]+counts[usePartial]) >= len(s.conns)
-	s.mu.Unlock()
-	if spareIdle {
-		candidates = slices.DeleteFunc(candidates, func(c reclaimCandidate) bool { return c.rank == reclaimIdle })
+	return false
+}
+
+// sparesIdle reports whether idle connections are kept: at least half of all connections have no complete request. These hold
+// the sockets, and their times end soon. The clients of idle connections would have to wait in the backlog with all others.
+func (s *openConnSet) sparesIdle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	incomplete := 0
+	for _, rank := range []reclaimRank{reclaimSilent, reclaimStalled, reclaimPaused} {
+		incomplete += s.queues[rank].length()
 	}
-	slices.SortFunc(candidates, func(a, b reclaimCandidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), a.since.Compare(b.since))
-	})
-	return candidates
+	return 2*incomplete >= len(s.conns)
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -117,7 +117,7 @@
 		sampledLog: sampledLog,
 		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
-	s.listener = newListener(tcpListener.(*net.TCPListener), budget, s.logShortage)
+	s.listener = newListener(tcpListener.(*net.TCPListener), budget, &s.openConns, s.logShortage)
 	s.SetOptions(options)
 	budget.OnExhausted(s.reclaimSocket)
 	s.http = &http.Server{
@@ -161,7 +161,8 @@
 // logShortage logs what the clients' sockets are held for while a new connection waits for one.
 func (s *Server) logShortage(waited time.Duration) {
 	if event := s.shortage.Warn(); event.Enabled() {
-		event.Int64("waited_ms", waited.Milliseconds()).EmbedObject(s.openConns.countUses()).Msg("no socket is free for clients")
+		event.Int64("waited_ms", waited.Milliseconds()).Int64("checks", s.openConns.checks.Load()).
+			EmbedObject(s.openConns.countUses()).Msg("no socket is free for clients")
 	}
 }
 
