Servers: the longest idle connection is known without a search

While a dial waits for a socket, each connection that becomes idle made connSet.closeLongestIdle look through all connections to all servers, which a client can cause as often as it sends requests. The set keeps its idle connections in the order in which they became idle now; each change of a connection's state moves that connection alone. The lock order of connection and set is the reverse of before: a connection's lock comes first.

The set has a file of its own. Not shown by a case; found by reading. TestLongestIdle walks one connection after the other through assignment, answer, excess bytes, unsolicited bytes and close.

--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -3,13 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"errors"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -80,6 +79,8 @@
 	answerStarted   bool       // part of the answer to the current push was received
 	brokenByServer  bool       // ended or reset by the server
 	closedWhileIdle bool       // closed by closeIfIdle
+
+	idlePlace *list.Element // in the set's list of idle connections; guarded by the mu of the set
 }
 
 // Close closes the connection and removes it from the open connections.
@@ -107,6 +108,12 @@
 	c.push = push
 	c.unwritten = true
 	c.answerStarted = false
+	c.refile()
+}
+
+// refile tells the set of connections whether the connection is idle now. The caller holds mu.
+func (c *conn) refile() {
+	c.openConns.setIdle(c, c.state == stateIdle && !c.unwritten)
 }
 
 // answerMalformed reports whether an answer was received that can't be parsed, on a connection that the server has not broken.
@@ -211,6 +218,7 @@
 		return len(b), err
 	case c.state == stateIdle || c.state == stateUnusable:
 		c.state = stateUnusable
+		c.refile()
 		return 0, errUnsolicitedBytes
 	}
 	c.answerStarted = true
@@ -234,11 +242,13 @@
 			c.state = stateIdle
 			c.idleSince = time.Now()
 			c.hasServed = true
+			c.refile()
 		}
 	}
 	if used < len(b) {
 		// Excess bytes: report an end right after the answer, so that the transport does not reuse the connection.
 		c.state = stateUnusable
+		c.refile()
 		return used, io.EOF
 	}
 	// There is no deadline after a complete answer, nor after an interim one, which the final one may follow late.
@@ -298,48 +308,6 @@
 	return length
 }
 
-// connSet holds the connections to all servers, so that idle ones can be closed when sockets run short.
-//
-// The transport counts a connection as idle before it has handed on an answer without a body, and its own
-// CloseIdleConnections would lose that answer. So connections are closed here, and only after minIdleTime.
-type connSet struct {
-	budget *sockets.Budget
-	mu     sync.Mutex // guards conns
-	conns  map[*conn]bool
-}
-
-// add registers a new connection.
-func (s *connSet) add(c *conn) *conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.idleSince = time.Now()
-	if socket, ok := c.Conn.Conn.(syscall.Conn); ok {
-		c.rawConn, _ = socket.SyscallConn()
-	}
-	s.conns[c] = true
-	return c
-}
-
-// remove removes a connection that is being closed. It does nothing on a nil set.
-func (s *connSet) remove(c *conn) {
-	if s == nil {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
-// idleTime returns how long no push has been in flight on the connection; it is negative while one is.
-func (c *conn) idleTime() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state != stateIdle || c.unwritten {
-		return -1
-	}
-	return time.Since(c.idleSince)
-}
-
 // closeIfIdle closes the connection if it has been idle for minIdleTime and is not assigned to a push.
 func (c *conn) closeIfIdle() {
 	c.mu.Lock()
@@ -347,6 +315,7 @@
 	if free {
 		c.state = stateUnusable
 		c.closedWhileIdle = true
+		c.refile()
 	}
 	c.mu.Unlock()
 	if free {
@@ -354,35 +323,12 @@
 	}
 }
 
-// closeLongestIdle closes the connection that has been idle longest. If none has been idle for minIdleTime, the budget checks
-// again after that time whether a socket is still needed.
-func (s *connSet) closeLongestIdle() {
-	s.mu.Lock()
-	var oldest *conn
-	longest := time.Duration(-1)
-	for c := range s.conns {
-		if idleTime := c.idleTime(); idleTime > longest {
-			oldest = c
-			longest = idleTime
-		}
-	}
-	s.mu.Unlock()
-	switch {
-	case longest >= minIdleTime:
-		oldest.closeIfIdle()
-	case oldest != nil:
-		time.AfterFunc(minIdleTime, s.budget.NotifyIdle)
-	}
-}
-
-// closeIdleOf closes the idle connections of one server actor.
-func (s *connSet) closeIdleOf(owner *serverActor) {
-	s.mu.Lock()
-	conns := slices.Collect(maps.Keys(s.conns))
-	s.mu.Unlock()
-	for _, c := range conns {
-		if c.owner == owner {
-			c.closeIfIdle()
-		}
+// idleTime returns how long no push has been in flight on the connection; it is negative while one is.
+func (c *conn) idleTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != stateIdle || c.unwritten {
+		return -1
 	}
+	return time.Since(c.idleSince)
 }
