--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -166,17 +166,17 @@
 	c.inBackground.Store(len(b) <= backgroundReadSize)
 	c.reading.Store(true)
 	defer c.reading.Store(false)
-	if c.isIdle() {
+	if c.awaitsClient() {
 		c.budget.NotifyIdle()
 	}
 	return sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
 }
 
-// isIdle reports whether the library waits for the next request.
-func (c *conn) isIdle() bool {
+// awaitsClient does the work of waitsForBytes for callers that do not hold mu.
+func (c *conn) awaitsClient() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.use() == useIdle && c.waitsForBytes()
+	return c.waitsForBytes()
 }
 
 // waitsForBytes reports whether the library waits for bytes of a request. The caller holds mu.
