Frontend: accepting takes turns with everything else that can run

Cause: the accept loop never blocks while the backlog holds connections, and the goroutine of each new connection is put ahead of those that wait for their turn. Up to 300 connections were accepted in one turn. Of a full core the clients that connect without a pause get nearly all.

Change: the accept loop yields before each accept (runtime.Gosched), which puts it behind all goroutines that can run. At rest that costs nothing.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
+
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +56,7 @@
 // uses a descriptor reserved for the process itself.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		runtime.Gosched() // clients that connect without a pause must not keep those that are connected from a full core
 		startedAt := time.Now()
 		tcp, err := l.AcceptTCP()
 		if time.Since(startedAt) >= emptyBacklogTime {
--- a/internal/frontend/reclaim_work_test.go
+++ b/internal/frontend/reclaim_work_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -103,3 +104,33 @@
 		}
 	}
 }
+
+// TestAcceptTakesTurns guards against late answers because a full core goes to clients that connect without a pause: between two
+// accepts, all other goroutines that can run have their turn.
+func TestAcceptTakesTurns(t *testing.T) {
+	const (
+		waiting           = 300
+		maxAcceptsPerTurn = 3
+	)
+	r := newServer(t, 2*waiting, echo)
+	for range waiting {
+		r.dial(t)
+	}
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	go func() { r.serveResult <- r.Serve() }()
+	accepted, most := 0, 0
+	for start := time.Now(); accepted < waiting; {
+		runtime.Gosched() // one turn
+		r.openConns.mu.Lock()
+		now := len(r.openConns.conns)
+		r.openConns.mu.Unlock()
+		most = max(most, now-accepted)
+		accepted = now
+		if time.Since(start) > testTimeout {
+			t.Fatalf("%d of %d connections were accepted", accepted, waiting)
+		}
+	}
+	if most > maxAcceptsPerTurn {
+		t.Errorf("%d connections were accepted in one turn", most)
+	}
+}
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -52,6 +52,14 @@
 
 // startServer runs a server with a budget of sockets for clients.
 func startServer(t *testing.T, budgetSize int, handle func(*node.Op)) *testServer {
+	t.Helper()
+	r := newServer(t, budgetSize, handle)
+	go func() { r.serveResult <- r.Serve() }()
+	return r
+}
+
+// newServer returns a server that accepts no connection yet: they wait in the backlog.
+func newServer(t *testing.T, budgetSize int, handle func(*node.Op)) *testServer {
 	t.Helper()
 	r := &testServer{
 		fakeActor: &fakeActor{
@@ -73,7 +81,6 @@
 		t.Fatal(err)
 	}
 	r.addr = r.listener.Addr().String()
-	go func() { r.serveResult <- r.Serve() }()
 	t.Cleanup(func() { r.http.Close() })
 	return r
 }
