Frontend: heads and bodies of requests stay within the node's memory

Cause: the HTTP library limits a head by its bytes alone and builds it up while it arrives: a stopped head of 2,500 short fields takes 265 kB, on each socket. A body's buffer has the length that the client names from the start, on each socket. And the sockets for clients were counted from the descriptors alone.

Change: headScanner follows the bytes before the library reads them and limits a head to 16 kB and 100 fields; beyond it the request is answered 431 by the connection itself. Where a request's end can't be told (chunks, two lengths, a length on two lines) its connection is not kept. Bodies over 4 kB share a quarter of the memory; what finds none is nacked at once. Clients have no more sockets than a quarter of the memory holds at 32 kB each: 256 of 530 at 32 MB, all from 67 MB on. A refused request with a body ends with its connection; the library kept it, with its buffers, for half a second more.

TestHeadScanner, TestHeadLimits (400 for many fields before) and TestBodyMemory guard the parts.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -1,7 +1,7 @@
 package frontend
 
 import (
-	"fmt"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -46,6 +46,8 @@
 	lastByteAt     time.Time // when the client was last heard of: its last byte or, before the first, its connecting
 	refusedAt      time.Time // when the connection became connRefused
 
+	scanner headScanner
+
 	places [reclaimRankCount]reclaimPlace // guarded by the mu of the set
 
 	// disconnectTimer is for disconnects that the library does not notice. Only the handler uses it; its first op creates it.
@@ -169,7 +171,11 @@
 	if c.awaitsClient() {
 		c.budget.NotifyIdle()
 	}
-	return sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
+	n, err := sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
+	if errors.Is(err, errHeadTooLarge) {
+		c.refuseHead()
+	}
+	return n, err
 }
 
 // awaitsClient does the work of waitsForBytes for callers that do not hold mu.
@@ -184,8 +190,21 @@
 	return c.reading.Load() && !c.inBackground.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
 }
 
-// mayRead returns an error once the connection was closed: what is read then could not be answered. The caller holds mu.
-func (c *conn) mayRead() error { return c.closedError("read") }
+// errHeadTooLarge is the error of a Read while the head of a request exceeds a limit. The library sends no answer to a connection
+// with an error of this type, since the connection has sent one.
+var errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head of a request is too large")}
+
+// mayRead returns an error if nothing more is to be read: the connection was closed, and what is read then could not be answered,
+// or it can't be told where the next request begins. The caller holds mu.
+func (c *conn) mayRead() error {
+	switch {
+	case c.scanner.limitExceeded:
+		return errHeadTooLarge
+	case c.scanner.part == partUnknown && c.phase == phaseHead:
+		return io.EOF
+	}
+	return c.closedError("read")
+}
 
 // closedError returns the error of an operation if the connection was closed. The library sends no answer to a connection
 // with an error of this type.
@@ -219,7 +238,11 @@
 		c.resumed = true
 	}
 	c.refile()
-	return len(b), err
+	allowed := c.scanner.scan(b)
+	if allowed == 0 {
+		return 0, errHeadTooLarge
+	}
+	return allowed, err
 }
 
 // Write writes to the connection, and records since when. It fails once the connection was closed, which may have been with an
@@ -242,24 +265,6 @@
 	c.refile()
 }
 
-// refusalAnswer is the answer to a request that is given up before it is complete. It is a nack: nothing of it was pushed.
-var refusalAnswer = fmt.Sprintf("HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-	statusNacked, http.StatusText(statusNacked))
-
-// refusalWriteTimeout limits the write of refusalAnswer. The kernel takes so few bytes at once, unless the client has left
-// earlier answers unread.
-const refusalWriteTimeout = 5 * time.Millisecond
-
-// nackUnfinished answers a request of which part was received and that is given up. The caller holds mu, and has changed the
-// state to connClosed.
-func (c *conn) nackUnfinished() {
-	if c.requestStarted.IsZero() {
-		return
-	}
-	c.tcp.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
-	io.WriteString(c.tcp, refusalAnswer)
-}
-
 // closeUnfinished closes the connection if it has no complete request, and check holds while no byte can be read. If part of
 // a request was received, it is nacked: its last byte may have been read in the meantime, and then it must be answered.
 func (c *conn) closeUnfinished(check func() bool) bool {
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"os"
 	"runtime"
-
 	"sync"
 	"sync/atomic"
 	"time"
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -45,9 +45,9 @@
 	}
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(bodyDeadline(r)) // the body may never come
-	body, err := readBody(r)
+	body, err := s.readBody(r)
 	if err != nil {
-		return nil, badRequest("body is cut short")
+		return nil, err
 	}
 	if !s.opIDs.reserve(header.id) {
 		// Two ops with one id would be two runs of the same op to a server.
@@ -126,13 +126,23 @@
 	return header, nil
 }
 
-// readBody reads the body of a request.
-func readBody(r *http.Request) (*node.Payload, error) {
+// readBody reads the body of a request. The error is a *requestError; a request whose body finds no memory is nacked.
+func (s *Server) readBody(r *http.Request) (*node.Payload, error) {
+	size := r.ContentLength
+	if !s.bodyMemory.tryReserve(size) {
+		return nil, &requestError{statusNacked, "no memory for a body of this size"}
+	}
 	if c, ok := connOf(r); ok && r.ContentLength > 0 {
 		c.setPhase(phaseBody)
 		defer c.setPhase(phaseHandler)
 	}
-	return node.ReadPayload(r.Body, r.ContentLength)
+	body, err := node.ReadPayload(r.Body, size)
+	if err != nil {
+		s.bodyMemory.release(size)
+		return nil, badRequest("body is cut short")
+	}
+	body.OnRelease(func() { s.bodyMemory.release(size) })
+	return body, nil
 }
 
 // bodyDeadline returns when the body of a request must have been read. For the first request of a connection it counts from
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -35,7 +35,6 @@
 	minBodyTimeout = 500 * time.Millisecond  // minimum of requestTimeout for the body; also for reading on after a refusal
 	idleTimeout    = 4 * time.Second         // between two requests of a connection
 	writeTimeout   = 2 * time.Second         // for writing an answer, beyond the longest TTL
-	maxHeaderBytes = 16 << 10                // of a request's header
 	maxRemaining   = time.Hour               // largest value of remainingHeader
 
 	badRequestLogInterval   = time.Second           // minimum between two log lines about bad requests
@@ -92,6 +91,7 @@
 	listener   *listener
 	opIDs      opIDSet // of the pending ops
 	openConns  openConnSet
+	bodyMemory *bodyMemory
 	drain      atomic.Pointer[drainState] // nil until a planned restart begins
 }
 
@@ -101,8 +101,14 @@
 	deadline  policy.Micros // the last answer must be written by then
 }
 
+// Limits are what the client side may use of the process's resources.
+type Limits struct {
+	Sockets   *sockets.Budget
+	BodyBytes int64 // memory of the bodies of requests that are being read or served
+}
+
 // Listen opens the listener and returns a server that answers on it once Serve is called.
-func Listen(addr string, options Options, budget *sockets.Budget, actor Actor, clock *node.Clock,
+func Listen(addr string, options Options, limits Limits, actor Actor, clock *node.Clock,
 	log zerolog.Logger) (*Server, error) {
 	tcpListener, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -111,15 +117,16 @@
 	// Bad clients may send requests at full speed, and a log line for each would cost more than the requests themselves.
 	sampledLog := log.Sample(&zerolog.BurstSampler{Burst: 1, Period: badRequestLogInterval})
 	s := &Server{
+		bodyMemory: newBodyMemory(limits.BodyBytes),
 		actor:      actor,
 		clock:      clock,
 		log:        log,
 		sampledLog: sampledLog,
 		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
-	s.listener = newListener(tcpListener.(*net.TCPListener), budget, &s.openConns, s.logShortage)
+	s.listener = newListener(tcpListener.(*net.TCPListener), limits.Sockets, &s.openConns, s.logShortage)
 	s.SetOptions(options)
-	budget.OnExhausted(s.reclaimSocket)
+	limits.Sockets.OnExhausted(s.reclaimSocket)
 	s.http = &http.Server{
 		Handler:                      s,
 		ReadHeaderTimeout:            headerTimeout,
@@ -274,32 +281,6 @@
 	s.writeAnswer(w, answer)
 }
 
-// refuseBadRequest answers a request that is not served, and lets its connection be closed: it may be followed by more of the
-// same, or by a request hidden in its body. Bytes that still arrive are read for a while, because a reset would discard the
-// answer.
-func (s *Server) refuseBadRequest(w http.ResponseWriter, r *http.Request, refused *requestError) {
-	if c, ok := connOf(r); ok && !c.markRefused() {
-		panic(http.ErrAbortHandler) // this process has closed the connection
-	}
-	s.sampledLog.Warn().Int("status", refused.status).Str("reason", refused.reason).Msg("bad request")
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(minBodyTimeout))
-	w.Header().Set("Connection", "close")
-	http.Error(w, refused.reason, refused.status)
-}
-
-// answerReady answers a readiness check.
-func answerReady(w http.ResponseWriter, r *http.Request) {
-	mayAnswer := (*conn).claimRequest
-	if r.ContentLength != 0 { // its body may never come
-		w.Header().Set("Connection", "close")
-		mayAnswer = (*conn).markRefused
-	}
-	if c, ok := connOf(r); ok && !mayAnswer(c) {
-		panic(http.ErrAbortHandler) // this process has closed the connection
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
 // awaitAnswer waits for the op's answer. If the client disconnects first, it abandons the op.
 func (s *Server) awaitAnswer(r *http.Request, op *node.Op) node.Answer {
 	var check <-chan time.Time
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -21,6 +21,9 @@
 	"canvasrouter/policy"
 )
 
+// testBodyBytes is the memory for the bodies of requests: three of the largest.
+const testBodyBytes = 3 * node.MaxBodyBytes
+
 // testTimeout limits every wait of these tests.
 const testTimeout = 5 * time.Second
 
@@ -76,7 +79,7 @@
 		DeliverySemantics: []policy.DeliverySemantics{policy.Redeliverable, policy.Redeliverable, policy.Deduplicated},
 		Tenants:           []string{"one", "two"},
 		MaxTTL:            time.Second,
-	}, r.budget, r.fakeActor, node.NewClock(), zerolog.Nop())
+	}, Limits{r.budget, testBodyBytes}, r.fakeActor, node.NewClock(), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -326,7 +326,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	_, _, _, maxPendingOps := sockets.Split(c.Sockets)
+	_, _, _, maxPendingOps := sockets.Split(c.Sockets, c.MemoryMB)
 	return c, maxPendingOps, nil
 }
 
--- a/internal/node/payload.go
+++ b/internal/node/payload.go
@@ -19,6 +19,7 @@
 type Payload struct {
 	buffer     *bytes.Buffer // nil once it is back in the pool
 	references atomic.Int32
+	onRelease  func() // called by the last Release; nil: nothing is called
 }
 
 // ReadPayload reads r to its end and returns a payload with one reference, the caller's. The size is the expected length, or
@@ -49,9 +50,16 @@
 	if p != nil && p.references.Add(-1) == 0 {
 		bufferPool.Put(p.buffer)
 		p.buffer = nil
+		if p.onRelease != nil {
+			p.onRelease()
+		}
 	}
 }
 
+// OnRelease sets a function that is called once, when the last reference has been given up. It must be set before the payload is
+// shared.
+func (p *Payload) OnRelease(onRelease func()) { p.onRelease = onRelease }
+
 // NewReader returns a reader of the content, which holds a reference until it is closed.
 func (p *Payload) NewReader() *Reader {
 	p.references.Add(1)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -97,7 +97,7 @@
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is left for stacks and for memory that the kernel counts
 
-	clientSockets, serverSockets, registrySockets, maxPendingOps := sockets.Split(c.Sockets)
+	clientSockets, serverSockets, registrySockets, maxPendingOps := sockets.Split(c.Sockets, c.MemoryMB)
 	clock := node.NewClock()
 	p := &process{
 		Options:          o,
@@ -126,7 +126,8 @@
 		return err
 	}
 	serverPool := servers.New(p.serverOptions(c), serverSockets, log.With().Str("part", "servers").Logger(), actor.PushEnded)
-	clientServer, err := frontend.Listen(c.Listen, clientOptions(c, 0), clientSockets, actor, clock,
+	clientLimits := frontend.Limits{Sockets: clientSockets, BodyBytes: int64(c.MemoryMB) << 20 / 4}
+	clientServer, err := frontend.Listen(c.Listen, clientOptions(c, 0), clientLimits, actor, clock,
 		log.With().Str("part", "clients").Logger())
 	if err != nil {
 		return fmt.Errorf("config: key listen: %w", err)
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,6 +17,8 @@
 	// registrySockets are the sockets for the registry: a watch, a request for the full list, and one of each that is being
 	// closed.
 	registrySockets = 4
+	// clientSocketBytes is the memory that a client's connection may take with the head of a request that is being read.
+	clientSocketBytes = 32 << 10
 )
 
 // Budget limits the number of open sockets for one purpose. Separate budgets keep one side from starving another: many clients
@@ -29,16 +31,19 @@
 }
 
 // Split divides the file descriptor limit of a process among clients, servers and the registry, and returns how many ops may
-// be pending at a time. Each op needs a client's socket and one to a server.
+// be pending at a time. Each op needs a client's socket and one to a server. Clients get no more sockets than a quarter of the
+// memory is enough for.
 //
 // An op whose connection waits in the listener's backlog counts as taken, and would be lost at its deadline. So clients get
 // more sockets than there may be pending ops, and excess ops are read and nacked at once. A shortage in this process would
 // look like servers that can't be reached. So servers get more sockets than there may be pending ops, for second pushes and
 // for connections that are being closed.
-func Split(limit int) (clients, servers, registry *Budget, ops int) {
+func Split(limit, memoryMB int) (clients, servers, registry *Budget, ops int) {
 	available := limit - reservedFiles - registrySockets
 	serverSockets := available * 15 / 32
-	return NewBudget(available - serverSockets), NewBudget(serverSockets), NewBudget(registrySockets), available * 13 / 32
+	clientSockets := min(available-serverSockets, memoryMB<<20/4/clientSocketBytes)
+	ops = min(available*13/32, clientSockets*13/17)
+	return NewBudget(clientSockets), NewBudget(serverSockets), NewBudget(registrySockets), ops
 }
 
 // NewBudget returns a budget of size sockets.
