--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -38,7 +38,7 @@
 		"new weights look like a new list":     {"../../policy/list.go", "case !s.MustSubscribe || form == ListReweighted:", "case !s.MustSubscribe:", "policy", "TestReweightedList"},
 		"older reports keep newer ones out":    {"outlier/report_table.go", "!t.evictServer(incoming.evidenceAt)", "true", "internal/fleet/outlier", "TestBounds"},
 
-		"a push continues after its client left":         {"../node/op.go", "&& !p.op.clientConnected() {", "&& false {", "internal/node", "TestClientLeavesWhileActorIsBusy"},
+		"a push continues after its client left":         {"../node/op.go", "p.clock.Now() < p.beginBefore && p.op.clientConnected()", "p.clock.Now() < p.beginBefore", "internal/node", "TestClientLeavesWhileActorIsBusy"},
 		"the client's connection is not checked":         {"../node/op.go", "if o.Client.Disconnected() {", "if false {", "internal/node", "TestWithdraw"},
 		"a client is assumed present too long":           {"../node/op.go", "clientCheckInterval = 10", "clientCheckInterval = 110", "internal/node", "TestWithdraw"},
 		"no second call is made beside a hung one":       {"../registry/registry.go", "if pending < 2 {", "if pending < 1 {", "internal/registry", "TestReportsAfterOutage$"},
@@ -50,7 +50,7 @@
 		"a promise is not written to disk":               {"../store/replica.go", "if err := r.save(key); err != nil {\n\t\t\t*register = previous", "if err := error(nil); err != nil {\n\t\t\t*register = previous", "internal/store", "TestRestart"},
 		"the remaining time is computed too early":       {"../servers/actor.go", "\t\t\tsetRemaining()\n\t\t\tattempt.assigned", "\t\t\tattempt.assigned", "internal/servers", "TestRemainingTimeOnLateConnection"},
 		"unsent pushes outlive their op":                 {"../node/node.go", "if !push.ended {\n\t\t\tpush.withdraw()", "if false {\n\t\t\tpush.withdraw()", "internal/node", "TestWithdraw"},
-		"a drain recalls no unsent pushes":               {"../node/node.go", "n.withdrawUnsent(before)\n", "_ = before\n", "internal/node", "TestWithdraw"},
+		"a drain recalls no unsent pushes":               {"../node/node.go", "n.withdrawUnsent()\n", "\n", "internal/node", "TestWithdraw"},
 		"pending ops outlive the process":                {"../node/node.go", "!op.settled {\n\t\t\tn.setAnswerTimer(op)", "!op.settled {\n\t\t\t_ = op", "internal/node", "TestWithdraw"},
 		"a push that may not begin is sent":              {"../servers/conn.go", "!c.push.TryBegin()", "!c.push.TryBegin() && false", "internal/servers", "TestClientLeavesBeforeFirstByte"},
 		"an answer before a broken write is lost":        {"../servers/conn.go", "c.rawConn); unread {", "c.rawConn); unread && false {", "internal/servers", "TestWriteFailsBeforeAnswerIsRead"},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -366,6 +366,7 @@
 	}
 	op.inFlight--
 	n.timers.stop(push.timeoutTimer)
+	n.timers.stop(push.beginTimer)
 	push.cancel()
 	if result.Outcome == policy.Acked && !op.settled {
 		n.settle(op, Answer{Verdict: Acked, Header: result.Header, Body: result.Body})
@@ -393,42 +394,17 @@
 				Int64("age_ms", int64(n.clock.Now()-e.StartedAt)/int64(policy.Millisecond)).Msg("entry")
 		}
 	}
-	before := slices.Clone(n.list)
 	n.mergeList(list)
 	n.servers.UpdateList(list)
 	if n.peers != nil {
 		n.peers.ListChanged(n.list)
 	}
-	n.withdrawUnsent(before)
+	n.withdrawUnsent()
 	for _, g := range n.generations { // a drain concerns every generation that has ops left
 		n.step(g, &policy.Input{Kind: policy.ListReceived, Form: list.Form, List: n.reweighted(list.Entries)})
 	}
 }
 
-// withdrawUnsent withdraws the pushes that have not been sent yet and whose server is no longer ready, or has restarted
-// since the previous list.
-//
-// A push may wait for its connection for as long as a dial takes, and would reach a draining server after its drain grace.
-// The module pushes to ready servers only, so no such push is intended.
-func (n *Node) withdrawUnsent(before []policy.ListEntry) {
-	for _, id := range slices.Sorted(maps.Keys(n.ops)) {
-		for _, push := range n.ops[id].pushes {
-			if !push.ended && !n.takesPushes(push.Server, before) {
-				push.withdraw()
-			}
-		}
-	}
-}
-
-// takesPushes reports whether the server is ready in the current list and has not restarted since the previous one.
-func (n *Node) takesPushes(id policy.ServerID, before []policy.ListEntry) bool {
-	matches := func(e policy.ListEntry) bool { return e.Server == id }
-	current := slices.IndexFunc(n.list, matches)
-	previous := slices.IndexFunc(before, matches)
-	return current >= 0 && n.list[current].State == policy.Ready &&
-		(previous < 0 || before[previous].StartedAt == n.list[current].StartedAt)
-}
-
 // settle gives an op its final answer and withdraws its unsent pushes. It releases the answer if the op is already settled.
 func (n *Node) settle(op *Op, answer Answer) {
 	if op.settled {
@@ -532,6 +508,8 @@
 		Request:   &op.Request,
 		Server:    e.Server,
 		op:        op,
+		clock:     n.clock,
+		target:    n.findTarget(e.Server),
 		number:    policy.PushNumber(len(op.pushes)),
 		sentAt:    n.stepTime,
 		createdAt: time.Now(),
@@ -543,7 +521,11 @@
 	if e.Duration > 0 {
 		push.Timeout = min(push.Timeout, e.Duration)
 	}
-	if op.settled || !op.clientConnected() || push.Timeout <= 0 {
+	push.beginBefore = n.stepTime + push.Timeout
+	if e.BeginBefore > 0 {
+		push.beginBefore = min(push.beginBefore, e.BeginBefore)
+	}
+	if op.settled || !op.clientConnected() || push.beginBefore <= n.stepTime {
 		// The op is settled or out of time, or its client has left: it would run although no client waits for it.
 		push.ended = true
 		op.inFlight--
@@ -552,9 +534,7 @@
 			Server: push.Server, Outcome: policy.Moot, OpSettled: op.settled})
 		return
 	}
-	push.timeoutTimer = n.timers.set(n.stepTime+push.Timeout, func() {
-		n.endPush(push, Result{Outcome: policy.TimedOut}, n.clock.Now()-push.sentAt)
-	})
+	n.setPushTimers(push)
 	if line := n.log.Debug(); line.Enabled() {
 		line.Uint32("op", uint32(op.id)).Uint8("push", uint8(push.number)).Str("server", fmt.Sprintf("%012x", push.Server)).
 			Int64("for_ms", int64(push.Timeout/policy.Millisecond)).Msg("push")
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -136,13 +136,17 @@
 	Timeout policy.Micros // how long the node waits, from the creation of the push
 
 	op           *Op
+	clock        *Clock
+	target       target // the server as it was listed when the push was decided
 	number       policy.PushNumber
 	state        atomic.Uint32 // pushUnsent, pushBegun or pushWithdrawn
 	createdAt    time.Time     // zero: TimeLeft is always the whole Timeout
 	cancel       context.CancelFunc
 	sentAt       policy.Micros // step time at which the push was created
+	beginBefore  policy.Micros // the push must not begin from then on
 	ended        bool          // reported to the module
 	timeoutTimer *timer
+	beginTimer   *timer // withdraws the push at beginBefore; nil if the push times out before
 }
 
 // TimeLeft returns how much longer the node waits for this push. It is safe for concurrent use.
@@ -185,15 +189,18 @@
 // TryBegin must be called right before the first byte of the push is written. If it returns true the push may have run from
 // then on; if it returns false nothing of the push may ever be written.
 //
-// The client may leave while the push waits for a socket, a connection or its turn, and the push would then run although no
-// client waits for it. TryBegin checks the client itself, because neither the actor nor the client side may have noticed yet.
+// What allowed the push when it was decided may have ended while it waited for a socket, a connection or its turn. The actor
+// withdraws it then, but TryBegin looks again, because the actor may not have noticed yet.
 func (p *Push) TryBegin() bool {
-	if p.op != nil && p.state.Load() == pushUnsent && !p.op.clientConnected() {
+	if p.op != nil && p.state.Load() == pushUnsent && !p.mayBegin() {
 		p.state.CompareAndSwap(pushUnsent, pushWithdrawn)
 	}
 	return p.state.CompareAndSwap(pushUnsent, pushBegun) || p.state.Load() == pushBegun
 }
 
+// mayBegin reports whether the push is still in time, and its client waits for it.
+func (p *Push) mayBegin() bool { return p.clock.Now() < p.beginBefore && p.op.clientConnected() }
+
 // Withdrawn reports whether the push was withdrawn, so that nothing of the push was written or ever will be.
 func (p *Push) Withdrawn() bool { return p.state.Load() == pushWithdrawn }
 
--- a/internal/node/race_test.go
+++ b/internal/node/race_test.go
@@ -4,6 +4,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -23,18 +24,22 @@
 	}
 }
 
-// tryBegin does what the server side does right before it writes bytes of a push.
+// tryBegin does what the server side does right before it writes bytes of a push, and reports the end of one that is withdrawn.
 func (r *harness) tryBegin(push int) {
 	if push >= len(r.pushes) {
 		r.record("sender: no such push")
-	} else if r.pushes[push].TryBegin() {
-		r.record("sender: push begins")
-	} else {
-		r.record("sender: push withdrawn")
+	} else if !r.recordBegin(push) {
 		r.finishPush(push, policy.Moot)
 	}
 }
 
+// recordBegin records whether a push may begin.
+func (r *harness) recordBegin(push int) bool {
+	begins := r.pushes[push].TryBegin()
+	r.record(map[bool]string{true: "sender: push begins", false: "sender: push withdrawn"}[begins])
+	return begins
+}
+
 // TestWithdraw checks that a push that still waits for its connection is withdrawn once no client waits for its op, its
 // server stops taking pushes or the process ends, even if the module cancels nothing. A push that has begun is not withdrawn.
 // The test acts as the server side, so the order of events is fixed.
@@ -165,6 +170,38 @@
 			},
 			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 0 ms settled false",
 				"sender: push begins"}},
+		"repeats are no longer dropped": {pushBefore(200),
+			func(r *harness, op *Op) {
+				advance(201)
+				r.tryBegin(0)
+			},
+			[]string{"module: ended push 0 moot after 200 ms settled false", "sender: push withdrawn"}},
+		"repeats are no longer dropped, the push has begun": {pushBefore(200),
+			func(r *harness, op *Op) {
+				r.tryBegin(0)
+				advance(201)
+				r.tryBegin(0) // for the rest of its bytes
+				r.finishPush(0, policy.Acked)
+			},
+			[]string{"sender: push begins", "sender: push begins", "module: ended push 0 acked after 201 ms settled true"}},
+		"repeats are no longer dropped, the actor is late": {combine(pushBefore(200), delayThirdList(100*time.Millisecond)),
+			func(r *harness, op *Op) {
+				advance(150)
+				go r.listServer(policy.Ready) // holds the actor up from 150 to 250 ms
+				advance(51)
+				r.recordBegin(0)
+				advance(50)
+			},
+			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 251 ms settled false"}},
+		"out of time, the actor is late": {combine(respondOnce(policy.OpArrived, pushFor(200)), delayThirdList(100*time.Millisecond)),
+			func(r *harness, op *Op) {
+				advance(150)
+				go r.listServer(policy.Ready)
+				advance(51)
+				r.recordBegin(0)
+				advance(50)
+			},
+			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 251 ms settled false"}},
 		"server is listed again unchanged": {respondOnce(policy.OpArrived, pushFor(300)),
 			func(r *harness, op *Op) {
 				r.listServer(policy.Ready)
@@ -241,11 +278,41 @@
 
 // listServer lists the one server that these tests push to, with a state.
 func (r *harness) listServer(state policy.ServerState) {
-	r.ListReceived(&List{Form: policy.ListChanges, Addrs: []string{"127.0.0.1:1"},
-		Entries: []policy.ListEntry{{Server: 7, State: state, Weight: 1}}})
+	r.listEntry("127.0.0.1:1", policy.ListEntry{Server: 7, State: state, Weight: 1})
+}
+
+// listEntry lists a server at an address.
+func (r *harness) listEntry(addr string, entry policy.ListEntry) {
+	r.ListReceived(&List{Form: policy.ListChanges, Addrs: []string{addr}, Entries: []policy.ListEntry{entry}})
 	synctest.Wait()
 }
 
+// pushBefore returns a script that pushes an op once. The push must begin within some milliseconds of the op's arrival.
+func pushBefore(ms int) func(*policy.Input) []policy.Effect {
+	return func(in *policy.Input) []policy.Effect {
+		if in.Kind != policy.OpArrived {
+			return nil
+		}
+		push := pushFor(900)
+		push.BeginBefore = in.Deadline - policy.Second + policy.Micros(ms)*policy.Millisecond // see submitOp
+		return []policy.Effect{push}
+	}
+}
+
+// delayThirdList returns a script that holds the actor up at the third list: the first two begin each scenario.
+func delayThirdList(duration time.Duration) func(*policy.Input) []policy.Effect {
+	lists := 0
+	return func(in *policy.Input) []policy.Effect {
+		if in.Kind != policy.ListReceived {
+			return nil
+		}
+		if lists++; lists == 3 {
+			time.Sleep(duration)
+		}
+		return nil
+	}
+}
+
 // TestClientLeavesWhileActorIsBusy checks clients that leave while the messages about it are still in the mailbox: an op that
 // is in the mailbox too is not pushed, and a push that is about to be written is withdrawn. Without the checks both would run
 // although no client waits for them.
--- a/policy/helper_test.go
+++ b/policy/helper_test.go
@@ -79,7 +79,11 @@
 		switch effect.Kind {
 		case Push:
 			s.lastServer[fmt.Sprint(effect.Op)] = effect.Server
-			s.record("  push op %d to %s for %.1f", effect.Op, serverName(effect.Server), float64(effect.Duration)/1000)
+			before := ""
+			if effect.BeginBefore > 0 {
+				before = fmt.Sprintf(", begins before %.1f", float64(effect.BeginBefore)/1000)
+			}
+			s.record("  push op %d to %s for %.1f%s", effect.Op, serverName(effect.Server), float64(effect.Duration)/1000, before)
 		case Nack:
 			s.record("  nack op %d, back in %.0f", effect.Op, float64(effect.Duration)/1000)
 		case DeadLetter:
--- a/policy/push.go
+++ b/policy/push.go
@@ -26,9 +26,9 @@
 	}
 	// A further push of an op that may have run adds work. Without a budget such pushes would feed the overload
 	// that caused them.
-	if op.mayHaveRunSince > 0 && (n.retryBudget < 1 || category.Delivery == AtMostOnce ||
-		category.Delivery == Deduplicated &&
-			n.now >= op.mayHaveRunSince+category.DedupWindow-n.topology.ClockTick) {
+	repeatBefore := n.repeatBefore(op)
+	if op.mayHaveRunSince > 0 && (n.retryBudget < 1 || category.Delivery == AtMostOnce) ||
+		repeatBefore > 0 && n.now >= repeatBefore {
 		return false
 	}
 	serverSlot := n.selectServer(op)
@@ -67,11 +67,21 @@
 	op.pushSentAt[op.pushCount] = n.now
 	op.pushCount++
 	op.inFlight++
-	n.emit(Effect{Kind: Push, Op: op.id, Server: server.Server, Duration: max(1, timeout)})
+	n.emit(Effect{Kind: Push, Op: op.id, Server: server.Server, Duration: max(1, timeout), BeginBefore: repeatBefore})
 	n.notifyPeers(server, peerMessage{event: peerPushSent})
 	return true
 }
 
+// repeatBefore returns until when servers drop a repeat of the op, or 0 if that does not matter: nothing of it can have run, or
+// it may be repeated at any time. A push may wait for its connection after it was decided, so it is told this time.
+func (n *Node) repeatBefore(op *pendingOp) Micros {
+	category := &n.categories[op.category]
+	if op.mayHaveRunSince == 0 || category.Delivery != Deduplicated {
+		return 0
+	}
+	return op.mayHaveRunSince + category.DedupWindow - n.topology.ClockTick
+}
+
 // handlePushEnd updates the statistics of the server and the category after a push has ended, then decides
 // what becomes of the op.
 func (n *Node) handlePushEnd(input *Input) {
--- a/policy/types.go
+++ b/policy/types.go
@@ -187,7 +187,7 @@
 type EffectKind uint8
 
 const (
-	Push          EffectKind = iota // Op, Server, Duration (timeout; 0: until the client gives up)
+	Push          EffectKind = iota // Op, Server, Duration (timeout; 0: until the client gives up), BeginBefore
 	Nack                            // Op, Duration (advice when to retry; 0: no advice)
 	DeadLetter                      // Op
 	Cancel                          // Op, Push
@@ -200,16 +200,19 @@
 
 // Effect is one action that a node asks its caller to carry out.
 type Effect struct {
-	Kind       EffectKind
-	Op         OpID
-	Server     ServerID
-	Push       PushNumber
-	Duration   Micros
-	TimerAt    Micros
-	Token      TimerToken
-	Text       string
-	PeerNumber int // NodeNumber of the receiving node
-	Message    [peerMessageLength]byte
+	Kind     EffectKind
+	Op       OpID
+	Server   ServerID
+	Push     PushNumber
+	Duration Micros
+	// BeginBefore is when a push loses its permission: if nothing of it was sent before, it must not be sent any more.
+	// 0: there is no such time.
+	BeginBefore Micros
+	TimerAt     Micros
+	Token       TimerToken
+	Text        string
+	PeerNumber  int // NodeNumber of the receiving node
+	Message     [peerMessageLength]byte
 }
 
 // Decider is the interface that protocol adapters call, whatever the protocol: the simulator's wire format,
