--- a/internal/node/generation.go
+++ b/internal/node/generation.go
@@ -124,3 +124,20 @@
 	}
 	n.list = slices.DeleteFunc(merged, func(e policy.ListEntry) bool { return e.State == policy.Gone })
 }
+
+// updateAddrs updates the addresses of the listed servers.
+func (n *Node) updateAddrs(list *List) {
+	if list.Form == policy.ListFailed {
+		return
+	}
+	if list.Form != policy.ListChanges || n.addrs == nil {
+		n.addrs = make(map[policy.ServerID]string, len(list.Entries))
+	}
+	for i, e := range list.Entries {
+		if e.State == policy.Gone {
+			delete(n.addrs, e.Server)
+			continue
+		}
+		n.addrs[e.Server] = list.Addrs[i]
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,7 @@
 
 	generations   []*Generation               // oldest first
 	list          []policy.ListEntry          // current full server list, without weight factors
+	addrs         map[policy.ServerID]string  // addresses of the servers on the list
 	peers         Peers                       // nil: no peer messaging
 	weightFactors map[policy.ServerID]float64 // remaining fraction of a server's weight after the peers' reports; absent: 1
 
@@ -395,6 +396,7 @@
 		}
 	}
 	n.mergeList(list)
+	n.updateAddrs(list)
 	n.servers.UpdateList(list)
 	if n.peers != nil {
 		n.peers.ListChanged(n.list)
--- a/internal/node/race_test.go
+++ b/internal/node/race_test.go
@@ -170,6 +170,32 @@
 			},
 			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 0 ms settled false",
 				"sender: push begins"}},
+		"server moves to another address": {combine(respondOnce(policy.OpArrived, pushFor(300)), respondThreeTimes(policy.PushEnded, pushFor(200))),
+			func(r *harness, op *Op) {
+				r.listEntry("127.0.0.1:2", policy.ListEntry{Server: 7, Weight: 1})
+				r.tryBegin(0)
+				r.tryBegin(1)
+			},
+			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 0 ms settled false",
+				"sender: push begins"}},
+		"server moves to another cell": {respondOnce(policy.OpArrived, pushFor(300)),
+			func(r *harness, op *Op) {
+				r.listEntry("127.0.0.1:1", policy.ListEntry{Server: 7, Weight: 1, Cell: 3})
+				r.tryBegin(0)
+			},
+			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 0 ms settled false"}},
+		"server moves to another zone": {respondOnce(policy.OpArrived, pushFor(300)),
+			func(r *harness, op *Op) {
+				r.listEntry("127.0.0.1:1", policy.ListEntry{Server: 7, Weight: 1, Zone: 1})
+				r.tryBegin(0)
+			},
+			[]string{"module: list", "sender: push withdrawn", "module: ended push 0 moot after 0 ms settled false"}},
+		"another weight is no other server": {respondOnce(policy.OpArrived, pushFor(300)),
+			func(r *harness, op *Op) {
+				r.listEntry("127.0.0.1:1", policy.ListEntry{Server: 7, Weight: 2})
+				r.tryBegin(0)
+			},
+			[]string{"module: list", "sender: push begins"}},
 		"repeats are no longer dropped": {pushBefore(200),
 			func(r *harness, op *Op) {
 				advance(201)
--- a/internal/node/withdraw.go
+++ b/internal/node/withdraw.go
@@ -14,6 +14,7 @@
 // target is a server as it was listed when a push was decided.
 type target struct {
 	policy.ListEntry
+	addr   string
 	listed bool
 }
 
@@ -23,12 +24,12 @@
 	if i < 0 {
 		return target{}
 	}
-	return target{n.list[i], true}
+	return target{n.list[i], n.addrs[id], true}
 }
 
-// isSameProcess reports whether two entries are of one process.
+// isSameProcess reports whether two entries are of one process, in the same group of servers that drop repeats.
 func (t *target) isSameProcess(other *target) bool {
-	return t.StartedAt == other.StartedAt
+	return t.addr == other.addr && t.StartedAt == other.StartedAt && t.Zone == other.Zone && t.Cell == other.Cell
 }
 
 // withdrawUnsent withdraws the pushes that have not been sent yet and whose server takes none any more by the new list: it is
--- a/internal/servers/late_push_test.go
+++ b/internal/servers/late_push_test.go
@@ -99,3 +99,27 @@
 	}
 	expectNothingSent(t, ids)
 }
+
+// TestServerMovesWhileDialing guards against work that goes to another process, which came up at the address that the server of
+// a push has left: by the list the server is at another address now.
+func TestServerMovesWhileDialing(t *testing.T) {
+	lateAddr, ids, emptyBacklog := lateServer(t)
+	newAddr, served := idServer(t)
+	harness := newPolicyHarness(t, policy.Second, lateAddr)
+	op := harness.submitOp("moved", "body", 6*policy.Second)
+	awaitDial(t, lateAddr)
+	harness.listAddrs(newAddr)
+	emptyBacklog()
+	if v := awaitVerdict(t, op); v != node.Acked {
+		t.Errorf("got verdict %v", v)
+	}
+	select {
+	case id := <-served:
+		if id != "moved" {
+			t.Errorf("the server got op %q at its new address", id)
+		}
+	default:
+		t.Error("the server got no op at its new address")
+	}
+	expectNothingSent(t, ids)
+}
