--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -303,8 +303,16 @@
 // reads one byte beyond a request and then stops, so it misses the disconnect of a client that sends more than that.
 func (c *conn) disconnectedUnnoticed() bool { return !c.reading.Load() && c.Disconnected() }
 
-// Disconnected reports whether the client has left, according to the kernel. It implements node.Client.
-func (c *conn) Disconnected() bool { return readTCPState(c.tcp).clientClosed }
+// Disconnected reports whether the client has left, according to the kernel, or may have left unnoticed. It implements node.Client.
+func (c *conn) Disconnected() bool { return readTCPState(c.tcp).clientClosed || c.sentFarAhead() }
+
+// sentFarAhead reports whether so much has arrived behind the current request that the kernel's buffer is half full. The end of
+// the connection may then wait at the client until more has been read, and nobody could tell that the client has left. A client
+// that waits for its answer before it sends the next request is never that far ahead.
+func (c *conn) sentFarAhead() bool {
+	unread, capacity := readBuffered(c.tcp)
+	return capacity > 0 && unread >= capacity/2
+}
 
 // tcpState is the kernel's state of a client's connection.
 type tcpState struct {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -75,7 +75,8 @@
 	return op, nil
 }
 
-// takeRequest takes a complete request, which must be answered from then on. It returns when its client gives up.
+// takeRequest takes a complete request, which must be answered from then on. It returns when its client gives up. The error is a
+// *requestError or errClientLeft.
 //
 // The remaining time counts from the arrival of the last byte. A process that was not scheduled reads the request later, and
 // would answer after the client has given up.
@@ -86,6 +87,9 @@
 		return now + remaining, nil
 	}
 	state := readTCPState(c.tcp)
+	if c.sentFarAhead() {
+		return 0, &requestError{statusNacked, "the client has sent too far ahead"}
+	}
 	if state.clientClosed || !c.claimRequest() {
 		// While the op waited in the backlog, for a socket or for a CPU, its client has left or this process has closed the
 		// connection. The library would notice only after the op has been pushed.
--- a/internal/frontend/tcpinfo_linux.go
+++ b/internal/frontend/tcpinfo_linux.go
@@ -26,3 +26,21 @@
 	})
 	return state
 }
+
+// readBuffered returns how many bytes of a connection have not been read, and how many the kernel may hold. Both are zero if the
+// kernel can't be asked.
+func readBuffered(conn *net.TCPConn) (unread, capacity int) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return 0, 0
+	}
+	raw.Control(func(fd uintptr) {
+		if unread, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ); err == nil {
+			capacity, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF)
+		}
+	})
+	if err != nil {
+		return 0, 0
+	}
+	return unread, capacity
+}
