--- a/cmd/canvasrouter/disconnect_test.go
+++ b/cmd/canvasrouter/disconnect_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -279,3 +280,46 @@
 		t.Errorf("only %d pushes were in flight when their clients disconnected", inFlight)
 	}
 }
+
+// TestIDAfterClientLeft guards against an op that runs twice because its id comes again after its client has left, while the push
+// of the first may still run. The id is free again when the first client would have given up.
+func TestIDAfterClientLeft(t *testing.T) {
+	pushed := make(chan string, 8)
+	finish := make(chan bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		pushed <- r.Header.Get("X-Txn")
+		<-finish
+	}))
+	defer server.Close()
+	defer close(finish)
+	addr := freeAddr(t)
+	p := startNode(t, func(p *process) { p.setCachedServers(t, server.Listener.Addr().String()) },
+		"127.0.0.1:8081", addr, "127.0.0.1:8500", freeAddr(t))
+	awaitReady(t, addr)
+	const id = "left"
+	first := dialRaw(t, addr)
+	first.send(bookingRequest(id))
+	if got := <-pushed; got != id {
+		t.Fatalf("server got %q", got)
+	}
+	first.Close()
+	time.Sleep(200 * time.Millisecond) // the node has noticed
+	again := dialRaw(t, addr)
+	again.send(bookingRequest(id))
+	if got := again.readAnswer(); !strings.HasPrefix(got, "409 ") {
+		t.Errorf("the id came again: got %q", got)
+	}
+	select {
+	case <-pushed:
+		t.Error("the id ran twice")
+	default:
+	}
+	time.Sleep(1200 * time.Millisecond) // more than bookingRequest says that the client waits
+	later := dialRaw(t, addr)
+	later.send(bookingRequest(id))
+	select {
+	case <-pushed:
+	case <-time.After(5 * time.Second):
+		t.Errorf("the id is not free again: %s", p.log.String())
+	}
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -274,9 +274,10 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	}
-	defer s.opIDs.release(op.Header.Get(idHeader))
+	answer := node.Answer{MayRunYet: true} // until there is one
+	defer func() { s.releaseID(op, answer.MayRunYet) }()
 	s.actor.Submit(op)
-	answer := s.awaitAnswer(r, op)
+	answer = s.awaitAnswer(r, op)
 	control.SetWriteDeadline(time.Now().Add(s.options.Load().MaxTTL + writeTimeout)) // the client may read nothing
 	s.writeAnswer(w, answer)
 }
@@ -310,6 +311,17 @@
 	}
 }
 
+// releaseID lets the id of an op come again. While a push may still run it does not: the same id, as from a client that has left
+// and comes again, would run beside that push.
+func (s *Server) releaseID(op *node.Op, mayRunYet bool) {
+	id := op.Header.Get(idHeader)
+	if !mayRunYet {
+		s.opIDs.release(id)
+		return
+	}
+	time.AfterFunc(s.clock.Until(op.Deadline), func() { s.opIDs.release(id) })
+}
+
 // writeAnswer writes the final answer of an op and releases its body.
 func (s *Server) writeAnswer(w http.ResponseWriter, answer node.Answer) {
 	defer answer.Body.Release()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -420,9 +420,10 @@
 			Int("pushes", len(op.pushes)).Int64("left_ms", n.clock.Until(op.Deadline).Milliseconds()).Msg("answer")
 	}
 	n.timers.stop(op.answerTimer)
+	answer.MayRunYet = op.mayHaveRun && answer.Verdict != Acked
 	for _, push := range op.pushes {
-		if !push.ended {
-			push.withdraw()
+		if !push.ended && !push.withdraw() {
+			answer.MayRunYet = true
 		}
 	}
 	op.Answer(answer)
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -84,6 +84,7 @@
 	Verdict    Verdict
 	RetryAfter policy.Micros // how long the client should wait before a retry; 0: the client decides
 	OverLimit  bool          // nacked because of the limit on pending ops; the client's connection is to be closed
+	MayRunYet  bool          // a push may still run, at the latest until the op's deadline, which servers are told
 	Header     http.Header
 	Body       *Payload
 }
