Tests: TestWatch and TestCloseCrossesLastByte no longer cross their own end

TestWatch failed 4 of 40 alone (one call more than a row expects): its client had a retry delay of 0, so the next call followed the reported end at once and could reach the fake registry before the test's cancel. The delay is an hour now, and 4 s in the rows that reopen a silent watch, which happens within a quarter of it.

TestCloseCrossesLastByte waited without a limit for an op (once 9m46s): the retry with the same id can come before the first request's handler has released the id, is then answered 409, rightly, and makes no op.

--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -310,6 +310,16 @@
 	return clientConn
 }
 
+// awaitEnded waits until the server has ended a connection.
+func (r *testServer) awaitEnded(t *testing.T, clientConn *conn) {
+	t.Helper()
+	awaitCondition(t, "connection was not ended", func() bool {
+		r.openConns.mu.Lock()
+		defer r.openConns.mu.Unlock()
+		return !r.openConns.conns[clientConn]
+	})
+}
+
 // always returns true: a check of closeUnfinished that holds.
 func always() bool { return true }
 
@@ -364,9 +374,15 @@
 		if got := partial.readAnswer(); !closed || got != "503 close" || len(ops) > 0 {
 			t.Errorf("closed: %v, got %q, %d ops were taken", closed, got, len(ops))
 		}
+		r.awaitEnded(t, clientConn) // its handler has released the id
 		retry := r.dial(t)
-		io.WriteString(retry.Conn, whole) // the id was released
-		echo(<-ops)
+		io.WriteString(retry.Conn, whole)
+		select {
+		case op := <-ops:
+			echo(op)
+		case <-time.After(testTimeout):
+			t.Fatal("the id was not released")
+		}
 		if got := retry.readAnswer(); got != "200 POST /booking body" {
 			t.Errorf("second attempt: got %q", got)
 		}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -64,7 +64,14 @@
 	defer server.Close()
 	defer close(releaseWatch)
 	budget := sockets.NewBudget(4)
-	client := New(Options{Addr: strings.TrimPrefix(server.URL, "http://"), Zones: []string{"a", "b"}}, budget, zerolog.Nop())
+	// The next call is made only after a delay that is longer than the test takes, so it does not cross the end of the test. A
+	// watch that has fallen silent is reopened within the first retry delay.
+	retryDelay := time.Hour
+	if keepOpen {
+		retryDelay = firstRetryDivisor * time.Second
+	}
+	client := New(Options{Addr: strings.TrimPrefix(server.URL, "http://"), Zones: []string{"a", "b"}, BaseRetryDelay: retryDelay},
+		budget, zerolog.Nop())
 	if keepOpen {
 		client.maxSilence = 100 * time.Millisecond
 	}
