--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -372,6 +372,9 @@
 }
 
 // watch opens a watch and reports what it brings until it ends. It returns the reason for the end.
+//
+// Changes of a generation before the known one come from another registry process, which counts from below: the changes before
+// them are not known, so they can't be applied to the list of the earlier process.
 func (c *Client) watch(ctx context.Context) error {
 	query := "?watch=1"
 	if c.hasList {
@@ -412,12 +415,13 @@
 			continue
 		}
 		list, generation, err := c.ids.parseList(line)
-		if err != nil {
-			c.log.Error().Err(err).Msg("broken line of the list; asking for the whole list")
+		startedAnew := err == nil && list.Form == policy.ListChanges && generation < c.generation
+		if err != nil || startedAnew {
+			c.log.Error().Err(err).Uint64("generation", generation).Msg("line does not continue the list; asking for the whole list")
 			if list, generation, err = c.fetchFullList(ctx); err != nil {
 				return err
 			}
-			if generation < c.generation {
+			if generation < c.generation && !startedAnew {
 				// The registry's responses may lag behind its watches. A list that is older than a reported change would
 				// bring a draining server back, and the change is never sent again. The next watch continues from
 				// c.generation.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -155,6 +155,14 @@
 		"an indented object that is not finished": {script: []string{"{\n  \"generation\": 42,\n\n"},
 			fullList: listLine(44, true, instanceJSON("s-2", "active", "127.0.0.1:3", 0)),
 			want:     []string{cached, "full ready 127.0.0.1:3 zone 1 started 0", "failed", asked, "asked /api/targets"}},
+		// Otherwise servers of the earlier registry would stay on the list for good.
+		"changes of a registry that has started anew": {script: []string{
+			listLine(5, false, instanceJSON("s-2", "leaving", "127.0.0.1:3", 0)) + "\n",
+			listLine(6, false, instanceJSON("s-2", "left", "", 0)) + "\n",
+			listLine(7, false, instanceJSON("s-3", "left", "", 0)) + "\n"},
+			fullList: listLine(6, true, instanceJSON("s-3", "active", "127.0.0.1:4", 0)),
+			want: []string{cached, "full ready 127.0.0.1:4 zone 1 started 0", "changes gone  zone 1 started 0", "failed", asked,
+				"asked /api/targets"}},
 		"a broken line": {script: []string{"{nonsense\n", listLine(44, false, instanceJSON("s-1", "left", "", 0)) + "\n",
 			listLine(45, false, instanceJSON("s-1", "left", "", 0)) + "\n"},
 			fullList: listLine(44, true, instanceJSON("s-2", "active", "127.0.0.1:3", 0)),
