--- a/internal/fleet/members/table.go
+++ b/internal/fleet/members/table.go
@@ -95,7 +95,8 @@
 	fleetSize         int // by the settings: numbers are below it
 	members           map[transport.IncarnationID]*Member
 	joinCount         uint64
-	byNumber          map[int][]*Member // alive members, the one that joined last first
+	byNumber          map[int][]*Member          // alive members, the one that joined last first
+	lastAt            map[netip.AddrPort]*Member // the alive member that joined last at an address
 	departedRetention policy.Micros
 }
 
@@ -106,6 +107,7 @@
 		fleetSize:         fleetSize,
 		members:           make(map[transport.IncarnationID]*Member),
 		byNumber:          make(map[int][]*Member),
+		lastAt:            make(map[netip.AddrPort]*Member),
 		departedRetention: defaultDepartedRetention,
 	}
 }
@@ -142,6 +144,10 @@
 		t.updateOwners(before.Number)
 		t.updateOwners(m.Number)
 	}
+	if len(changes) > 0 || m.Addr != before.Addr {
+		t.updateLastAt(before.Addr)
+		t.updateLastAt(m.Addr)
+	}
 	return changes
 }
 
@@ -205,6 +211,7 @@
 		m.State = Left
 	}
 	t.updateOwners(m.Number)
+	t.updateLastAt(m.Addr)
 	return []Change{{Text: "member " + map[State]string{Left: "has left", Dead: "is dead"}[m.State], Member: *m}}
 }
 
@@ -277,10 +284,23 @@
 	t.byNumber[number] = owners
 }
 
-// Owner returns the member that messages to a number go to, if any member has the number.
+// updateLastAt updates the member that messages to an address reach.
+func (t *Table) updateLastAt(addr netip.AddrPort) {
+	delete(t.lastAt, addr)
+	for _, m := range t.reachable(func(m *Member) bool { return m.Addr == addr }) {
+		if last := t.lastAt[addr]; last == nil || m.joinOrder > last.joinOrder {
+			t.lastAt[addr] = m
+		}
+	}
+}
+
+// Owner returns the member that messages to a number go to, if any member has the number. A member at whose address another one
+// has joined since is passed over: it is gone, though not found dead yet, and the other would take messages to it for its own.
 func (t *Table) Owner(number int) (Member, bool) {
-	if owners := t.byNumber[number]; len(owners) > 0 {
-		return *owners[0], true
+	for _, owner := range t.byNumber[number] {
+		if t.lastAt[owner.Addr] == owner {
+			return *owner, true
+		}
 	}
 	return Member{}, false
 }
--- a/internal/fleet/peermsg/messenger_test.go
+++ b/internal/fleet/peermsg/messenger_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/fleet/members"
 	"canvasrouter/internal/fleet/transport"
 	"canvasrouter/internal/node"
 )
@@ -78,3 +79,42 @@
 		t.Error("stale messages were sent")
 	}
 }
+
+// TestMessageToReplacedNode guards against messages that go to another node: it came up at the address of the one that they are
+// for, which is gone and not found dead yet.
+func TestMessageToReplacedNode(t *testing.T) {
+	const goneNumber, newNumber = 3, 5
+	senderTransport, senderAddr := openTransport(t, 1)
+	receiverTransport, receiverAddr := openTransport(t, 2)
+	received := make(chan []byte, 10)
+	receiver := Start(receiverTransport, nil, func(messages []byte) bool {
+		received <- messages
+		return true
+	})
+	defer receiver.Close()
+	receiverTransport.Run()
+	table := members.NewTable(members.Member{Name: "n0", Incarnation: 1, Addr: senderAddr}, 9)
+	table.MemberAlive(1, members.Member{Name: "gone", Incarnation: 9, Number: goneNumber, Addr: receiverAddr})
+	table.MemberAlive(2, members.Member{Name: "new", Incarnation: 2, Number: newNumber, Addr: receiverAddr})
+	sender := Start(senderTransport, func(number int) (netip.AddrPort, bool) {
+		owner, found := table.Owner(number)
+		return owner.Addr, found
+	}, nil)
+	defer sender.Close()
+	sender.Send(goneNumber, node.PeerMessage{goneNumber})
+	sender.Send(newNumber, node.PeerMessage{newNumber})
+	select {
+	case messages := <-received:
+		if len(messages) != messageSize || messages[0] != newNumber {
+			t.Errorf("the new node received %v", messages)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatalf("nothing was received: %+v", sender.Counts())
+	}
+	for end := time.Now().Add(5 * time.Second); sender.Counts().Sent+sender.Counts().NoOwner < 2 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if c := sender.Counts(); c.NoOwner != 1 || c.Sent != 1 {
+		t.Errorf("sender: %+v", c)
+	}
+}
