--- a/internal/frontend/connset.go
+++ b/internal/frontend/connset.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,9 @@
 		s.add(clientConn)
 	case http.StateClosed, http.StateHijacked:
 		s.remove(clientConn)
+	case http.StateIdle:
+		clientConn.stateChanged(state)
+		runtime.Gosched() // a client that sends the next request without a pause must not keep others from a full core
 	default:
 		clientConn.stateChanged(state)
 	}
--- a/internal/frontend/reclaim_work_test.go
+++ b/internal/frontend/reclaim_work_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"canvasrouter/internal/node"
 )
 
 // restlessClients are bad clients that connect again as soon as their connections are closed, more than there are sockets.
@@ -134,3 +136,37 @@
 		t.Errorf("%d connections were accepted in one turn", most)
 	}
 }
+
+// TestRequestsTakeTurns guards against the same by a client that sends requests on one connection without a pause: between two of
+// them, all other goroutines that can run have their turn.
+func TestRequestsTakeTurns(t *testing.T) {
+	const (
+		requests           = 300
+		maxRequestsPerTurn = 3
+	)
+	var served atomic.Int64
+	r := newServer(t, 9, func(op *node.Op) {
+		served.Add(1)
+		echo(op)
+	})
+	var all strings.Builder
+	for range requests {
+		all.WriteString(newRequest("GET", "/checkout", ""))
+	}
+	io.WriteString(r.dial(t).Conn, all.String())
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	go func() { r.serveResult <- r.Serve() }()
+	last, most := int64(0), int64(0)
+	for start := time.Now(); last < requests; {
+		runtime.Gosched() // one turn
+		now := served.Load()
+		most = max(most, now-last)
+		last = now
+		if time.Since(start) > testTimeout {
+			t.Fatalf("%d of %d requests were served", last, requests)
+		}
+	}
+	if most > maxRequestsPerTurn {
+		t.Errorf("%d requests were served in one turn", most)
+	}
+}
