--- a/cmd/canvasrouter/idle_clients_test.go
+++ b/cmd/canvasrouter/idle_clients_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -19,35 +18,7 @@
 // openIdleConnections keeps size connections open that send nothing, and opens a new one for each that the node closes. It
 // counts those.
 func openIdleConnections(t *testing.T, addr string, size int) (closed *atomic.Int64) {
-	closed = &atomic.Int64{}
-	var connections sync.WaitGroup
-	stop := make(chan struct{})
-	for range size {
-		connections.Go(func() {
-			for {
-				conn, err := net.DialTimeout("tcp", addr, time.Second)
-				if err == nil {
-					go func() {
-						<-stop
-						conn.Close()
-					}()
-					_, err = conn.Read(make([]byte, 1))
-					closed.Add(1)
-					conn.Close()
-				}
-				select {
-				case <-stop:
-					return
-				case <-time.After(20 * time.Millisecond):
-				}
-			}
-		})
-	}
-	t.Cleanup(func() {
-		close(stop)
-		connections.Wait()
-	})
-	return closed
+	return holdConnections(t, addr, size, time.Hour, func(int64) string { return "" })
 }
 
 // TestIdleCrowdWhileRegistryIsDown opens idle connections until the node has no file descriptor left, while the registry is
--- a/cmd/canvasrouter/memory_test.go
+++ b/cmd/canvasrouter/memory_test.go
@@ -44,8 +44,9 @@
 }
 
 // holdConnections keeps size connections open until the test ends. On each it sends first and then, after each pause, one more
-// byte; when the node closes one it opens the next.
-func holdConnections(t *testing.T, addr string, size int, pause time.Duration, first func(number int64) string) {
+// byte; when the node closes one it opens the next. It counts those.
+func holdConnections(t *testing.T, addr string, size int, pause time.Duration, first func(number int64) string) (closed *atomic.Int64) {
+	closed = &atomic.Int64{}
 	var clients sync.WaitGroup
 	var number atomic.Int64
 	stop := make(chan struct{})
@@ -64,6 +65,7 @@
 		for {
 			select {
 			case <-ended:
+				closed.Add(1)
 				return
 			case <-stop:
 				return
@@ -88,6 +90,7 @@
 		close(stop)
 		clients.Wait()
 	})
+	return closed
 }
 
 // nodeLimits are limits of a node.
--- a/internal/frontend/race_test.go
+++ b/internal/frontend/race_test.go
@@ -22,6 +22,18 @@
 	}
 }
 
+// awaitOp waits for an op. If none is taken in time, the test fails with a message.
+func awaitOp(t *testing.T, ops <-chan *node.Op, failure string) *node.Op {
+	t.Helper()
+	select {
+	case op := <-ops:
+		return op
+	case <-time.After(testTimeout):
+		t.Fatal(failure)
+	}
+	panic("unreachable")
+}
+
 // awaitOpenConn waits until the server has an open connection besides others, and returns it.
 func (r *testServer) awaitOpenConn(t *testing.T, others ...*conn) *conn {
 	t.Helper()
@@ -231,12 +243,7 @@
 			}
 			retry := r.dial(t)
 			io.WriteString(retry.Conn, raw)
-			select {
-			case op := <-ops:
-				echo(op)
-			case <-time.After(testTimeout):
-				t.Fatal("id was not released")
-			}
+			echo(awaitOp(t, ops, "id was not released"))
 			if got := retry.readAnswer(); got != "200 POST /booking half" || len(ops) > 0 {
 				t.Errorf("second attempt: got %q; %d more ops were taken", got, len(ops))
 			}
--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -377,12 +377,7 @@
 		r.awaitEnded(t, clientConn) // its handler has released the id
 		retry := r.dial(t)
 		io.WriteString(retry.Conn, whole)
-		select {
-		case op := <-ops:
-			echo(op)
-		case <-time.After(testTimeout):
-			t.Fatal("the id was not released")
-		}
+		echo(awaitOp(t, ops, "the id was not released"))
 		if got := retry.readAnswer(); got != "200 POST /booking body" {
 			t.Errorf("second attempt: got %q", got)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -416,8 +416,14 @@
 		}
 		list, generation, err := c.ids.parseList(line)
 		startedAnew := err == nil && list.Form == policy.ListChanges && generation < c.generation
+		if startedAnew {
+			c.log.Warn().Uint64("generation", generation).Uint64("known", c.generation).
+				Msg("the registry counts anew; asking for the whole list")
+		}
+		if err != nil {
+			c.log.Error().Err(err).Msg("broken line of the list; asking for the whole list")
+		}
 		if err != nil || startedAnew {
-			c.log.Error().Err(err).Uint64("generation", generation).Msg("line does not continue the list; asking for the whole list")
 			if list, generation, err = c.fetchFullList(ctx); err != nil {
 				return err
 			}
