--- a/internal/node/generation.go
+++ b/internal/node/generation.go
@@ -141,3 +141,19 @@
 		n.addrs[e.Server] = list.Addrs[i]
 	}
 }
+
+// keepLatestProcesses replaces what a list says of an earlier process of a server by what is known of the latest one: its start and
+// its address. An outdated list may be received again, and by now another process may stand at the earlier address.
+func (n *Node) keepLatestProcesses(list *List) {
+	known := make(map[policy.ServerID]policy.Micros, len(n.list))
+	for _, e := range n.list {
+		known[e.Server] = e.StartedAt
+	}
+	for i := range list.Entries {
+		entry := &list.Entries[i]
+		if latest, found := known[entry.Server]; found && entry.State != policy.Gone && entry.StartedAt < latest {
+			entry.StartedAt = latest
+			list.Addrs[i] = n.addrs[entry.Server]
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -395,6 +395,7 @@
 				Int64("age_ms", int64(n.clock.Now()-e.StartedAt)/int64(policy.Millisecond)).Msg("entry")
 		}
 	}
+	n.keepLatestProcesses(list)
 	n.mergeList(list)
 	n.updateAddrs(list)
 	n.servers.UpdateList(list)
--- a/internal/servers/late_push_test.go
+++ b/internal/servers/late_push_test.go
@@ -123,3 +123,23 @@
 	}
 	expectNothingSent(t, ids)
 }
+
+// TestOutdatedListKeepsAddress guards against work that goes to another process because an outdated list is received again: it has
+// the server at its earlier address, where that process stands now.
+func TestOutdatedListKeepsAddress(t *testing.T) {
+	earlierAddr, other := idServer(t)
+	addr, served := idServer(t)
+	harness := newPolicyHarness(t, policy.Second, earlierAddr)
+	list := func(addr string, startedAt policy.Micros) *node.List {
+		return &node.List{Form: policy.ListFull, Addrs: []string{addr},
+			Entries: []policy.ListEntry{{Server: 1, Weight: 1, StartedAt: startedAt}}}
+	}
+	harness.ListReceived(list(addr, 2*policy.Second))
+	harness.ListReceived(list(earlierAddr, policy.Second))
+	if v := awaitVerdict(t, harness.submit("op")); v != node.Acked {
+		t.Errorf("got verdict %v", v)
+	}
+	if len(other) > 0 || len(served) != 1 {
+		t.Errorf("%d ops went to the earlier address, %d to the server", len(other), len(served))
+	}
+}
