--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -75,8 +75,8 @@
 // Waiters returns how many callers of Acquire are waiting.
 func (b *Budget) Waiters() int { return int(b.waiters.Load()) }
 
-// NotifyIdle reports that a connection has become idle, or can be closed for another reason. If a caller of Acquire is waiting, an idle connection is closed;
-// otherwise that caller would wait for as long as the connections stay idle.
+// NotifyIdle reports that a connection has become idle, or can be closed for another reason. If a caller of Acquire is waiting, a
+// connection is closed; otherwise that caller would wait for as long as the connections stay idle.
 func (b *Budget) NotifyIdle() {
 	if b.Waiters() > 0 {
 		b.closeIdle()
