Frontend: sockets of clients that never wait for an answer are reclaimed, too

Causes: a connection whose next request is there already is never idle, so its socket was never reclaimed. And with one accept a turn (since "accepting takes turns") 300 connections that are always busy leave 133 accepts a second.

Change: while a connection has waited for a socket for 0.1 s, an answer closes the connection of a client that has sent the next request already. Eight connections are accepted in a turn.

TestOthersServedAmongBusyClients without the change: no answer in 5 s; five times green with it.

TestAcceptTakesTurns: 17 accepts at the most between two turns of the test, two turns of the listener (300 before all this).

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -126,6 +126,14 @@
 	}
 }
 
+// sentNext reports whether bytes of the next request have arrived although the current one is not answered.
+func (c *conn) sentNext() bool {
+	c.mu.Lock()
+	next := c.scanner.part != partHead || c.scanner.headBytes > 0
+	c.mu.Unlock()
+	return next || hasUnread(c.tcp)
+}
+
 // hasRequest reports whether a complete request has not been answered yet.
 func (c *conn) hasRequest() bool { return c.state.Load() == connHasRequest }
 
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -26,6 +26,10 @@
 // emptyBacklogTime is how long an accept must have waited to tell that no connection was in the backlog.
 const emptyBacklogTime = 5 * time.Millisecond
 
+// acceptsPerTurn is how many connections are accepted before all other goroutines have their turn. Clients that connect without a
+// pause must not keep those that are connected from a full core, nor the other way round.
+const acceptsPerTurn = 8
+
 // listener accepts connections within the clients' socket budget. When the budget is used up, connections wait in the kernel's
 // backlog, and Accept blocks.
 type listener struct {
@@ -35,6 +39,7 @@
 	ctx             context.Context // done when no more connections are to be accepted
 	cancel          context.CancelFunc
 	emptyingBacklog bool                       // drainAcceptTime has passed
+	acceptsInTurn   int                        // accepts since all others had their turn
 	onShortage      func(waited time.Duration) // called while a connection waits for a socket
 
 	waitingSince    atomic.Pointer[time.Time] // last byte of the connection that waits for a socket; nil: none waits
@@ -55,7 +60,7 @@
 // uses a descriptor reserved for the process itself.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		runtime.Gosched() // clients that connect without a pause must not keep those that are connected from a full core
+		l.takeTurn()
 		startedAt := time.Now()
 		tcp, err := l.AcceptTCP()
 		if time.Since(startedAt) >= emptyBacklogTime {
@@ -84,6 +89,14 @@
 	}
 }
 
+// takeTurn lets all other goroutines that can run have their turn after acceptsPerTurn accepts.
+func (l *listener) takeTurn() {
+	if l.acceptsInTurn++; l.acceptsInTurn > acceptsPerTurn {
+		l.acceptsInTurn = 1
+		runtime.Gosched()
+	}
+}
+
 // awaitSocket acquires a socket of the budget for a connection. It returns false if there is none until a drain has emptied the
 // backlog. It acquires for a while at a time, so that each time a connection to close is looked for anew: one that was within
 // its grace before may be past it.
--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -534,3 +534,33 @@
 		}
 	}
 }
+
+// TestOthersServedAmongBusyClients guards against requests without an answer in their time because clients that send requests
+// without waiting for answers hold all sockets: they are never idle, and never stop.
+func TestOthersServedAmongBusyClients(t *testing.T) {
+	const budgetSize = 20
+	r := startServer(t, budgetSize, echo)
+	checks := strings.Repeat("GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n", 100)
+	bad := &restlessClients{addr: r.addr, stop: make(chan struct{})}
+	var clients sync.WaitGroup
+	for range 3 * budgetSize {
+		clients.Go(func() { bad.play([]string{checks}, 0, false) })
+	}
+	defer clients.Wait()
+	defer close(bad.stop)
+	awaitCondition(t, "sockets are not all in use", func() bool { return r.budget.Waiters() > 0 })
+	var others sync.WaitGroup
+	for range 30 {
+		others.Go(func() {
+			lag := harness.NewTimerLag()
+			start := time.Now()
+			got := r.dial(t).roundTrip(requestWithTime("1000"))
+			elapsed := time.Since(start)
+			if late, _ := lag.Stop(); got != "200 GET /checkout " && got != "200 close GET /checkout " || elapsed > time.Second+late {
+				t.Errorf("got %q after %v", got, elapsed)
+			}
+		})
+		time.Sleep(20 * time.Millisecond)
+	}
+	others.Wait()
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -235,9 +235,16 @@
 	return drain != nil && ok && c.acceptedAt.After(drain.startedAt)
 }
 
+// isNeeded reports whether the socket of a request's connection is needed for another one that has been waiting, and the client
+// does not wait for its answers: it would never be idle or stop, so its socket could not be reclaimed.
+func (s *Server) isNeeded(r *http.Request) bool {
+	c, ok := connOf(r)
+	return ok && s.listener.shortage().waited > newConnGrace && c.sentNext()
+}
+
 // ServeHTTP serves one op. There is no http.ServeMux, because it would clean paths and redirect.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.arrivedDuringDrain(r) {
+	if s.arrivedDuringDrain(r) || s.isNeeded(r) {
 		w.Header().Set("Connection", "close")
 	}
 	// The library clears neither deadline between requests, and after an answer it reads to the end of a body that may
