--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -564,3 +564,28 @@
 	}
 	others.Wait()
 }
+
+// TestSoundClientsKeepConnectionsWhileOthersWait guards against connections that are closed with their answer, while others wait for
+// a socket, although their clients wait for it: the body of a request must not be taken for the next one.
+func TestSoundClientsKeepConnectionsWhileOthersWait(t *testing.T) {
+	const budgetSize = 9
+	ops := make(chan *node.Op, budgetSize)
+	r := startServer(t, budgetSize, func(op *node.Op) { ops <- op })
+	var sound []*client
+	for range budgetSize {
+		c := r.dial(t)
+		io.WriteString(c.Conn, newRequest("POST", "/booking", strings.Repeat("x", 20_000)))
+		sound = append(sound, c)
+	}
+	r.dial(t)
+	awaitCondition(t, "no connection has been waiting", func() bool { return r.listener.shortage().waited > newConnGrace })
+	for range sound {
+		op := awaitOp(t, ops, "a request was not taken")
+		op.Answer(node.Answer{Verdict: node.Nacked})
+	}
+	for _, c := range sound {
+		if got := c.readAnswer(); got != "503" {
+			t.Errorf("got %q", got)
+		}
+	}
+}
--- a/internal/frontend/reclaim_work_test.go
+++ b/internal/frontend/reclaim_work_test.go
@@ -76,12 +76,12 @@
 		leaves   bool
 		shortage bool // there are always more clients than sockets
 	}{
-		"connects":    {shortage: true},
-		"bytes":       {pieces: []string{"GET /checkout HTTP/1.1\r\nX-Odd: ", "x"}, shortage: true},
-		"fields":      {pieces: []string{"GET /checkout HTTP/1.1\r\n", "X-Odd: x\r\n"}, shortage: true},
-		"large pages": {pieces: []string{"GET /checkout HTTP/1.1\r\nX-Odd: ", strings.Repeat("x", 4096)}},
-		"requests":    {pieces: []string{strings.Replace(whole, "/booking", "/elsewhere", 1)}},
-		"closes":      {pieces: []string{whole[:len(whole)-2]}, leaves: true},
+		"connects":     {shortage: true},
+		"bytes":        {pieces: []string{"GET /checkout HTTP/1.1\r\nX-Odd: ", "x"}, shortage: true},
+		"fields":       {pieces: []string{"GET /checkout HTTP/1.1\r\n", "X-Odd: x\r\n"}, shortage: true},
+		"large pieces": {pieces: []string{"GET /checkout HTTP/1.1\r\nX-Odd: ", strings.Repeat("x", 4096)}},
+		"requests":     {pieces: []string{strings.Replace(whole, "/booking", "/elsewhere", 1)}},
+		"closes":       {pieces: []string{whole[:len(whole)-2]}, leaves: true},
 	} {
 		for _, budgetSize := range []int{32, 512} {
 			t.Run(fmt.Sprintf("%s, %d sockets", name, budgetSize), func(t *testing.T) {
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -65,12 +65,13 @@
 }
 
 // answerReady answers a readiness check.
-func answerReady(w http.ResponseWriter, r *http.Request) {
+func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
 	c, ok := connOf(r)
 	if r.ContentLength == 0 {
 		if ok && !c.claimRequest() {
 			panic(http.ErrAbortHandler) // this process has closed the connection
 		}
+		s.closeIfNeeded(w, r)
 		w.WriteHeader(http.StatusOK)
 		return
 	}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -235,16 +235,18 @@
 	return drain != nil && ok && c.acceptedAt.After(drain.startedAt)
 }
 
-// isNeeded reports whether the socket of a request's connection is needed for another one that has been waiting, and the client
-// does not wait for its answers: it would never be idle or stop, so its socket could not be reclaimed.
-func (s *Server) isNeeded(r *http.Request) bool {
-	c, ok := connOf(r)
-	return ok && s.listener.shortage().waited > newConnGrace && c.sentNext()
+// closeIfNeeded lets the answer to a request close the connection if another one has been waiting for a socket, and the client does
+// not wait for its answers: its connection would never be idle or stop, so its socket could not be reclaimed. It is called when
+// the request was read whole.
+func (s *Server) closeIfNeeded(w http.ResponseWriter, r *http.Request) {
+	if c, ok := connOf(r); ok && s.listener.shortage().waited > newConnGrace && c.sentNext() {
+		w.Header().Set("Connection", "close")
+	}
 }
 
 // ServeHTTP serves one op. There is no http.ServeMux, because it would clean paths and redirect.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.arrivedDuringDrain(r) || s.isNeeded(r) {
+	if s.arrivedDuringDrain(r) {
 		w.Header().Set("Connection", "close")
 	}
 	// The library clears neither deadline between requests, and after an answer it reads to the end of a body that may
@@ -268,7 +270,7 @@
 		}
 	}()
 	if r.URL.Path == readyPath {
-		answerReady(w, r)
+		s.answerReady(w, r)
 		return
 	}
 	var err error
@@ -285,6 +287,7 @@
 	defer func() { s.releaseID(op, answer.MayRunYet) }()
 	s.actor.Submit(op)
 	answer = s.awaitAnswer(r, op)
+	s.closeIfNeeded(w, r)
 	control.SetWriteDeadline(time.Now().Add(s.options.Load().MaxTTL + writeTimeout)) // the client may read nothing
 	s.writeAnswer(w, answer)
 }
