--- a/internal/node/withdraw.go
+++ b/internal/node/withdraw.go
@@ -36,7 +36,7 @@
 // not ready, or another process stands in its place.
 //
 // A push may wait for its connection for as long as a dial takes, and would reach a draining server after its drain grace, or
-// a process that the module has not chosen. The module pushes to ready servers only, so no such push is intended.
+// a process for which it was not decided. The module pushes to ready servers only, so no such push is intended.
 func (n *Node) withdrawUnsent() {
 	for _, id := range slices.Sorted(maps.Keys(n.ops)) {
 		for _, push := range n.ops[id].pushes {
