--- a/cmd/canvasrouter/disconnect_test.go
+++ b/cmd/canvasrouter/disconnect_test.go
@@ -323,3 +323,28 @@
 		t.Errorf("the id is not free again: %s", p.log.String())
 	}
 }
+
+// TestIDAfterAnswer guards against an op that runs twice because its id comes again, from another client, right after its answer.
+func TestIDAfterAnswer(t *testing.T) {
+	pushed := make(chan string, 8)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		pushed <- r.Header.Get("X-Txn")
+		io.WriteString(w, "fine")
+	}))
+	defer server.Close()
+	addr := freeAddr(t)
+	startNode(t, func(p *process) { p.setCachedServers(t, server.Listener.Addr().String()) },
+		"127.0.0.1:8081", addr, "127.0.0.1:8500", freeAddr(t))
+	awaitReady(t, addr)
+	const id = "answered"
+	for _, want := range []string{"200 ", "409 "} {
+		client := dialRaw(t, addr)
+		client.send(bookingRequest(id))
+		if got := client.readAnswer(); !strings.HasPrefix(got, want) {
+			t.Errorf("got %q, not %q", got, want)
+		}
+	}
+	if len(pushed) != 1 {
+		t.Errorf("the id ran %d times", len(pushed))
+	}
+}
