Memory: one account for the process, and the sum of all bounds within the limit

Cause: each part had its own bound or none, and nobody added them up. Without one: answers and their heads, connections to servers, an actor with a mailbox for each server of the list, kernel buffers, the backlog, large buffers that small ops took from the pool, and the heap limit counted none of the kernel's.

Change: memory.Plan divides the limit and the descriptors among all that the process holds; memory.Account has a pool for large heads, for bodies and for answers. Sockets have buffers of a fixed size, the backlog is bounded, a head of an answer has 100 fields, an actor starts with its server's first push, a list has 2 MB, and only small buffers are used again.

A backlog of 512 was tried first: with 800 clients connections came up a second late.

Tests changed: bodies count with the buffer that they take, so the pool of the tests has three of the largest buffers, not bodies; two tests of the server pool looked at its map of actors, which holds servers now. Their checks are the same.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -98,6 +98,9 @@
 		topology.NodeCount == nextTopology.NodeCount)
 }
 
+// MemoryBytes returns the memory limit of the process in bytes.
+func (c *Config) MemoryBytes() int64 { return int64(c.MemoryMB) << 20 }
+
 // sameJSON compares two JSON values regardless of white space and the order of keys.
 func sameJSON(rawLeft, rawRight json.RawMessage) bool {
 	var left, right any
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -48,7 +48,7 @@
 		"a client is assumed present too long":           {"../node/op.go", "clientCheckInterval = 10", "clientCheckInterval = 110", "internal/node", "TestWithdraw"},
 		"no second call is made beside a hung one":       {"../registry/registry.go", "if pending < 2 {", "if pending < 1 {", "internal/registry", "TestReportsAfterOutage$"},
 		"no watch unless the module asks for it":         {"../registry/registry.go", "case <-time.After(delay):\n\t\tc.Watch()", "case <-time.After(delay):\n\t\tif c.autoWatch.Load() {\n\t\t\tc.Watch()\n\t\t}", "internal/registry", "TestReportsAfterOutageOnSockets"},
-		"clients can use every file descriptor":          {"../sockets/sockets.go", "reservedFiles = 24", "reservedFiles = -60", "cmd/canvasrouter", "TestIdleCrowd"},
+		"clients can use every file descriptor":          {"../memory/plan.go", "reservedFiles = 24", "reservedFiles = -60", "cmd/canvasrouter", "TestIdleCrowd"},
 		"half of the replicas are a majority":            {"../store/round.go", "r.replicas/2 + 1", "r.replicas / 2", "internal/store", "TestRegisterProperties"},
 		"an earlier value is taken for the latest":       {"../store/round.go", "latest.Value == nil || reply.Accepted.Compare(latest.Accepted) > 0", "latest.Value == nil", "internal/store", "TestRegisterProperties"},
 		"one faulty change rejects the others too":       {"../store/apply/apply.go", "parsed, err := ParseWithChanges(baseFile, withValue", "applied = withValue\n\t\tparsed, err := ParseWithChanges(baseFile, withValue", "internal/store/apply", "TestApplier"},
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/sockets"
 )
 
@@ -46,7 +47,10 @@
 	lastByteAt     time.Time // when the client was last heard of: its last byte or, before the first, its connecting
 	refusedAt      time.Time // when the connection became connRefused
 
-	scanner headScanner
+	scanner    headScanner
+	heads      *memory.Pool // for large heads; nil: they are not counted
+	headMemory int64        // reserved in heads
+	refusal    *headRefusal // why the head that is being read is refused; nil: it is not
 
 	places [reclaimRankCount]reclaimPlace // guarded by the mu of the set
 
@@ -63,10 +67,11 @@
 	phaseBody                     // a body
 )
 
-// newConn returns a connection that was accepted within a budget.
-func newConn(tcp *net.TCPConn, budget *sockets.Budget, set *openConnSet, ending *atomic.Bool) *conn {
+// newConn returns a connection that was accepted within limits.
+func newConn(tcp *net.TCPConn, limits *Limits, set *openConnSet, ending *atomic.Bool) *conn {
 	now := time.Now()
-	c := &conn{Conn: budget.Wrap(tcp), tcp: tcp, acceptedAt: now, budget: budget, set: set, ending: ending}
+	c := &conn{Conn: limits.Sockets.Wrap(tcp), tcp: tcp, acceptedAt: now, budget: limits.Sockets, heads: limits.Heads, set: set, ending: ending}
+	limits.Buffers.Apply(tcp)
 	c.raw, _ = tcp.SyscallConn()
 	c.lastByteAt = now.Add(-readTCPState(tcp).sinceLastByte) // the connection may have waited in the backlog
 	return c
@@ -162,6 +167,7 @@
 	case http.StateIdle:
 		c.phase = phaseHead
 		c.served = true
+		c.releaseHead()
 		c.lastByteAt = time.Now()
 		c.state.CompareAndSwap(connHasRequest, connNoRequest) // the answer has been written
 	}
@@ -180,7 +186,7 @@
 		c.budget.NotifyIdle()
 	}
 	n, err := sockets.ReadLocked(c.Conn, c.raw, &c.mu, b, c.mayRead, c.track)
-	if errors.Is(err, errHeadTooLarge) {
+	if errors.Is(err, errHeadRefused) {
 		c.refuseHead()
 	}
 	return n, err
@@ -198,16 +204,16 @@
 	return c.reading.Load() && !c.inBackground.Load() && c.phase != phaseHandler && c.state.Load() == connNoRequest
 }
 
-// errHeadTooLarge is the error of a Read while the head of a request exceeds a limit. The library sends no answer to a connection
+// errHeadRefused is the error of a Read once the head of a request is refused. The library sends no answer to a connection
 // with an error of this type, since the connection has sent one.
-var errHeadTooLarge = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head of a request is too large")}
+var errHeadRefused = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("head of a request is refused")}
 
 // mayRead returns an error if nothing more is to be read: the connection was closed, and what is read then could not be answered,
 // or it can't be told where the next request begins. The caller holds mu.
 func (c *conn) mayRead() error {
 	switch {
-	case c.scanner.limitExceeded:
-		return errHeadTooLarge
+	case c.refusal != nil:
+		return errHeadRefused
 	case c.scanner.part == partUnknown && c.phase == phaseHead:
 		return io.EOF
 	}
@@ -247,8 +253,15 @@
 	}
 	c.refile()
 	allowed := c.scanner.scan(b)
+	switch {
+	case c.scanner.limitExceeded:
+		c.refusal = &headTooLarge
+	case !c.growHead():
+		c.refusal = &noHeadMemory
+		return 0, errHeadRefused
+	}
 	if allowed == 0 {
-		return 0, errHeadTooLarge
+		return 0, errHeadRefused
 	}
 	return allowed, err
 }
--- a/internal/frontend/connset.go
+++ b/internal/frontend/connset.go
@@ -53,6 +53,9 @@
 
 // remove removes a connection that has ended.
 func (s *openConnSet) remove(clientConn *conn) {
+	clientConn.mu.Lock()
+	clientConn.releaseHead() // the library uses the connection no more
+	clientConn.mu.Unlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, clientConn)
--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -34,7 +34,7 @@
 // backlog, and Accept blocks.
 type listener struct {
 	*net.TCPListener
-	budget          *sockets.Budget
+	limits          Limits
 	openConns       *openConnSet
 	ctx             context.Context // done when no more connections are to be accepted
 	cancel          context.CancelFunc
@@ -48,11 +48,24 @@
 	backlogDeadline atomic.Pointer[time.Time] // when emptying the backlog ends at the latest; set by drain
 }
 
-// newListener returns a listener that accepts connections within a budget.
-func newListener(tcp *net.TCPListener, budget *sockets.Budget, openConns *openConnSet,
-	onShortage func(waited time.Duration)) *listener {
+// listenTCP opens a listener with a backlog of a size; 0 is the system's. Connections take over the listener's buffers.
+func listenTCP(addr string, backlog int, buffers sockets.Buffers) (*net.TCPListener, error) {
+	config := net.ListenConfig{Control: buffers.Control}
+	opened, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp := opened.(*net.TCPListener)
+	if backlog > 0 {
+		sockets.SetBacklog(tcp, backlog)
+	}
+	return tcp, nil
+}
+
+// newListener returns a listener that accepts connections within limits.
+func newListener(tcp *net.TCPListener, limits Limits, openConns *openConnSet, onShortage func(waited time.Duration)) *listener {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &listener{TCPListener: tcp, budget: budget, openConns: openConns, ctx: ctx, cancel: cancel, onShortage: onShortage}
+	return &listener{TCPListener: tcp, limits: limits, openConns: openConns, ctx: ctx, cancel: cancel, onShortage: onShortage}
 }
 
 // Accept accepts a connection, and waits until a socket of the budget is free for it. During a drain it empties the backlog,
@@ -75,7 +88,7 @@
 				l.refuseBacklog(tcp)
 				return nil, net.ErrClosed
 			}
-			return newConn(tcp, l.budget, l.openConns, &l.ending), nil
+			return newConn(tcp, &l.limits, l.openConns, &l.ending), nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && !l.emptyingBacklog:
 			// Closing the listener now would reset the connections in the backlog.
 			l.emptyingBacklog = true
@@ -101,7 +114,7 @@
 // backlog. It acquires for a while at a time, so that each time a connection to close is looked for anew: one that was within
 // its grace before may be past it.
 func (l *listener) awaitSocket(tcp *net.TCPConn) bool {
-	if l.budget.TryAcquire() {
+	if l.limits.Sockets.TryAcquire() {
 		return true
 	}
 	now := time.Now()
@@ -111,7 +124,7 @@
 	l.shortSince.CompareAndSwap(nil, &now)
 	for {
 		ctx, cancel := context.WithTimeout(l.ctx, reclaimInterval)
-		err := l.budget.Acquire(ctx)
+		err := l.limits.Sockets.Acquire(ctx)
 		cancel()
 		if err == nil {
 			return true
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -162,6 +162,12 @@
 	}
 }
 
+// CloseUnread closes the connection whose client has left its answer unread for longest, if that is too long. It is called while
+// another answer waits for memory.
+func (s *Server) CloseUnread() {
+	s.openConns.reclaimRank(reclaimUnread, newGraces(s.options.Load().usualGrace(), 0, 0))
+}
+
 // reclaimRank closes the connection that has exceeded the grace of a rank for longest, if one has.
 func (s *openConnSet) reclaimRank(rank reclaimRank, times graces) bool {
 	for range maxReclaimChecks {
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -33,15 +33,25 @@
 	lingerBytes   = 256 << 10
 )
 
-// refuseHead answers a request whose head is too large and closes the connection, unless it was closed before.
+// headRefusal is why a request is refused while its head is being read.
+type headRefusal struct {
+	status int
+	reason string
+}
+
+var (
+	headTooLarge = headRefusal{http.StatusRequestHeaderFieldsTooLarge, "head of the request is too large"}
+	noHeadMemory = headRefusal{statusNacked, "no memory for a head of this size"}
+)
+
+// refuseHead answers a request whose head is refused and closes the connection, unless it was closed before.
 func (c *conn) refuseHead() {
 	if !c.markRefused() {
 		return
 	}
-	const reason = "head of the request is too large"
 	c.tcp.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	fmt.Fprintf(c.tcp, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		http.StatusRequestHeaderFieldsTooLarge, http.StatusText(http.StatusRequestHeaderFieldsTooLarge), len(reason), reason)
+		c.refusal.status, http.StatusText(c.refusal.status), len(c.refusal.reason), c.refusal.reason)
 	c.closeAfterRefusal()
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 	"canvasrouter/policy"
@@ -91,7 +92,7 @@
 	listener   *listener
 	opIDs      opIDSet // of the pending ops
 	openConns  openConnSet
-	bodyMemory *bodyMemory
+	bodyMemory bodyMemory
 	drain      atomic.Pointer[drainState] // nil until a planned restart begins
 }
 
@@ -103,28 +104,32 @@
 
 // Limits are what the client side may use of the process's resources.
 type Limits struct {
-	Sockets   *sockets.Budget
-	BodyBytes int64 // memory of the bodies of requests that are being read or served
+	Sockets        *sockets.Budget
+	Heads          *memory.Pool    // for large heads of requests; nil: they are not counted
+	Bodies         *memory.Pool    // for the bodies of requests that are being read or served
+	Backlog        int             // connections that may wait to be accepted; 0: the system's number
+	BacklogBuffers sockets.Buffers // of a connection that waits to be accepted
+	Buffers        sockets.Buffers // of a connection
 }
 
 // Listen opens the listener and returns a server that answers on it once Serve is called.
 func Listen(addr string, options Options, limits Limits, actor Actor, clock *node.Clock,
 	log zerolog.Logger) (*Server, error) {
-	tcpListener, err := net.Listen("tcp", addr)
+	tcpListener, err := listenTCP(addr, limits.Backlog, limits.BacklogBuffers)
 	if err != nil {
 		return nil, err
 	}
 	// Bad clients may send requests at full speed, and a log line for each would cost more than the requests themselves.
 	sampledLog := log.Sample(&zerolog.BurstSampler{Burst: 1, Period: badRequestLogInterval})
 	s := &Server{
-		bodyMemory: newBodyMemory(limits.BodyBytes),
+		bodyMemory: bodyMemory{limits.Bodies},
 		actor:      actor,
 		clock:      clock,
 		log:        log,
 		sampledLog: sampledLog,
 		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
-	s.listener = newListener(tcpListener.(*net.TCPListener), limits.Sockets, &s.openConns, s.logShortage)
+	s.listener = newListener(tcpListener, limits, &s.openConns, s.logShortage)
 	s.SetOptions(options)
 	limits.Sockets.OnExhausted(s.reclaimSocket)
 	s.http = &http.Server{
--- a/internal/frontend/server_test.go
+++ b/internal/frontend/server_test.go
@@ -16,13 +16,14 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 	"canvasrouter/policy"
 )
 
 // testBodyBytes is the memory for the bodies of requests: three of the largest.
-const testBodyBytes = 3 * node.MaxBodyBytes
+var testBodyBytes = 3 * node.PayloadBytes(node.MaxBodyBytes)
 
 // testTimeout limits every wait of these tests.
 const testTimeout = 5 * time.Second
@@ -79,7 +80,7 @@
 		DeliverySemantics: []policy.DeliverySemantics{policy.Redeliverable, policy.Redeliverable, policy.Deduplicated},
 		Tenants:           []string{"one", "two"},
 		MaxTTL:            time.Second,
-	}, Limits{r.budget, testBodyBytes}, r.fakeActor, node.NewClock(), zerolog.Nop())
+	}, Limits{Sockets: r.budget, Bodies: memory.NewPool(testBodyBytes, 0)}, r.fakeActor, node.NewClock(), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/sim/sim.go
+++ b/internal/lab/sim/sim.go
@@ -18,7 +18,7 @@
 	"canvasrouter/internal/lab/load"
 	"canvasrouter/internal/lab/load/rngstream"
 	"canvasrouter/internal/lab/scenario"
-	"canvasrouter/internal/sockets"
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/standin/registry"
 	"canvasrouter/policy"
 )
@@ -326,8 +326,7 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	_, _, _, maxPendingOps := sockets.Split(c.Sockets, c.MemoryMB)
-	return c, maxPendingOps, nil
+	return c, memory.NewPlan(c.MemoryBytes(), c.Sockets).PendingOps, nil
 }
 
 var discardLogger = zerolog.Nop()
--- a/internal/node/payload.go
+++ b/internal/node/payload.go
@@ -10,6 +10,20 @@
 // MaxBodyBytes is the maximum length of a body, of a request or of an answer.
 const MaxBodyBytes = 64 << 10
 
+const (
+	// pageBytes is the unit in which the runtime allocates large buffers.
+	pageBytes = 8 << 10
+	// maxPooledBytes is the largest buffer that is used again. An op with a small body must not hold a large buffer.
+	maxPooledBytes = 5 << 10
+	// SmallPayloadBytes is the size up to which payloads are small.
+	SmallPayloadBytes = 4 << 10
+)
+
+// PayloadBytes returns the memory that a payload of an expected size takes, in bytes.
+func PayloadBytes(size int64) int64 {
+	return (size + bytes.MinRead + pageBytes - 1) / pageBytes * pageBytes
+}
+
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // Payload is a body in a pooled buffer with a reference count. The last Release returns the buffer to the pool.
@@ -42,13 +56,36 @@
 	return p, nil
 }
 
+// ReadUnsized reads r, whose length is not known, to its end. It asks reserve for memory before it reads more than
+// SmallPayloadBytes, and fails if reserve does.
+func ReadUnsized(r io.Reader, reserve func(bytes int64) error) (*Payload, error) {
+	p, err := ReadPayload(io.LimitReader(r, SmallPayloadBytes), SmallPayloadBytes)
+	if err != nil || len(p.Bytes()) < SmallPayloadBytes {
+		return p, err
+	}
+	if err = reserve(PayloadBytes(MaxBodyBytes)); err == nil {
+		p.buffer.Grow(MaxBodyBytes - SmallPayloadBytes + bytes.MinRead)
+		_, err = p.buffer.ReadFrom(io.LimitReader(r, MaxBodyBytes-SmallPayloadBytes+1))
+	}
+	if err == nil && p.buffer.Len() > MaxBodyBytes {
+		err = ErrBodyTooLong
+	}
+	if err != nil {
+		p.Release()
+		return nil, err
+	}
+	return p, nil
+}
+
 // Bytes returns the content. It is valid while the caller holds a reference.
 func (p *Payload) Bytes() []byte { return p.buffer.Bytes() }
 
 // Release gives up one reference. It does nothing on a nil payload.
 func (p *Payload) Release() {
 	if p != nil && p.references.Add(-1) == 0 {
-		bufferPool.Put(p.buffer)
+		if p.buffer.Cap() <= maxPooledBytes {
+			bufferPool.Put(p.buffer)
+		}
 		p.buffer = nil
 		if p.onRelease != nil {
 			p.onRelease()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -45,8 +45,8 @@
 	maxRetryDelay = 3 * time.Second
 
 	dialTimeout      = time.Second
-	maxLineBytes     = 8 << 20
-	maxBackoffFactor = 8 // longest retry delay, in multiples of Options.BaseRetryDelay
+	maxLineBytes     = 2 << 20 // a list of 3,200 servers, indented, has half of it
+	maxBackoffFactor = 8       // longest retry delay, in multiples of Options.BaseRetryDelay
 
 	// firstRetryDivisor divides Options.BaseRetryDelay to give the longest delay before the first retry after a watch
 	// that was established. The watches of the whole fleet may end at once; without a random delay all nodes would
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -21,6 +21,7 @@
 
 	"canvasrouter/internal/config"
 	"canvasrouter/internal/frontend"
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/registry"
 	"canvasrouter/internal/servers"
@@ -95,16 +96,16 @@
 // run starts the parts of the node and returns when the node has shut down.
 func (o *Options) run(c *config.Config, reload <-chan os.Signal, terminate context.Context, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(c.Cores))))
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 3 / 4) // the rest is left for stacks and for memory that the kernel counts
-
-	clientSockets, serverSockets, registrySockets, maxPendingOps := sockets.Split(c.Sockets, c.MemoryMB)
+	plan := memory.NewPlan(c.MemoryBytes(), c.Sockets)
+	debug.SetMemoryLimit(plan.HeapLimit)
+	account := memory.NewAccount(plan, frontend.MaxHeadMemory, node.PayloadBytes(node.MaxBodyBytes))
 	clock := node.NewClock()
 	p := &process{
 		Options:          o,
 		config:           c,
 		clock:            clock,
-		maxPendingOps:    maxPendingOps,
-		maxOpsWithPushes: clientSockets.Size(),
+		account:          account,
+		maxOpsWithPushes: plan.ClientSockets,
 		log:              log,
 	}
 	firstGeneration, err := p.newGeneration(c)
@@ -120,13 +121,21 @@
 		BaseRetryDelay: time.Second,
 		DrainGrace:     config.Duration(c.Rules.DrainGrace),
 		Seed:           c.Seed,
-	}, registrySockets, log.With().Str("part", "registry").Logger())
+	}, sockets.NewBudget(plan.RegistrySockets), log.With().Str("part", "registry").Logger())
 	cachedList, err := registryClient.LoadCached(c.CachedList)
 	if err != nil {
 		return err
 	}
-	serverPool := servers.New(p.serverOptions(c), serverSockets, log.With().Str("part", "servers").Logger(), actor.PushEnded)
-	clientLimits := frontend.Limits{Sockets: clientSockets, BodyBytes: int64(c.MemoryMB) << 20 / 4}
+	c.CachedList = nil // as long as thousands of servers need
+	serverPool := servers.New(p.serverOptions(c), sockets.NewBudget(plan.ServerSockets), log.With().Str("part", "servers").Logger(), actor.PushEnded)
+	clientLimits := frontend.Limits{
+		Sockets:        sockets.NewBudget(plan.ClientSockets),
+		Heads:          account.Heads,
+		Bodies:         account.Bodies,
+		Backlog:        plan.Backlog,
+		BacklogBuffers: plan.BacklogBuffers,
+		Buffers:        plan.ClientBuffers,
+	}
 	clientServer, err := frontend.Listen(c.Listen, clientOptions(c, 0), clientLimits, actor, clock,
 		log.With().Str("part", "clients").Logger())
 	if err != nil {
@@ -136,6 +145,7 @@
 	p.registry = registryClient
 	p.serverPool = serverPool
 	p.clientServer = clientServer
+	account.Answers.OnShortage(clientServer.CloseUnread)
 
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -178,7 +188,7 @@
 type process struct {
 	*Options
 	config           *config.Config
-	maxPendingOps    int // limit from the socket budget
+	account          *memory.Account
 	maxOpsWithPushes int // ops that can have pushes in flight
 	log              zerolog.Logger
 	actor            *node.Node
@@ -203,7 +213,7 @@
 		c.Rules.Topology.PeerMessaging = false
 	}
 	generation := &node.Generation{Options: node.Options{
-		MaxPendingOps: min(p.maxPendingOps, c.MaxPendingOps),
+		MaxPendingOps: min(p.account.Plan.PendingOps, c.MaxPendingOps),
 		AnswerSlack:   c.AnswerSlack,
 	}}
 	if p.AdjustAnswerSlack != nil {
@@ -224,6 +234,8 @@
 		DialTimeout:       config.Duration(c.Rules.PushLimits.DialTimeout),
 		ServerIdleTimeout: c.ServerIdleTimeout,
 		MaxInFlight:       p.maxOpsWithPushes * c.Rules.PushLimits.MaxPushes,
+		Answers:           p.account.Answers,
+		Buffers:           p.account.Plan.ServerBuffers,
 	}
 }
 
--- a/internal/servers/actor.go
+++ b/internal/servers/actor.go
@@ -16,6 +16,7 @@
 
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 	"canvasrouter/policy"
@@ -43,24 +44,24 @@
 type serverActor struct {
 	log       zerolog.Logger
 	addr      string
-	startedAt policy.Micros // start time of the server
 	mailbox   chan *node.Push
 	transport *http.Transport
 	budget    *sockets.Budget
+	answers   *memory.Pool // nil: answers are not counted
 	openConns *connSet
 	onPushEnd func(*node.Push, node.Result)
 }
 
 // newServerActor returns an actor whose run method has not been started.
-func newServerActor(addr string, startedAt policy.Micros, options Options, budget *sockets.Budget, openConns *connSet,
+func newServerActor(addr string, options Options, budget *sockets.Budget, openConns *connSet,
 	log zerolog.Logger, onPushEnd func(*node.Push, node.Result)) *serverActor {
-	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: options.DialTimeout}, Budget: budget}
+	dialer := &sockets.Dialer{Dialer: net.Dialer{Timeout: options.DialTimeout, Control: options.Buffers.Control}, Budget: budget}
 	a := &serverActor{
 		log:       log,
 		addr:      addr,
-		startedAt: startedAt,
 		mailbox:   make(chan *node.Push, options.MaxInFlight),
 		budget:    budget,
+		answers:   options.Answers,
 		openConns: openConns,
 		onPushEnd: onPushEnd,
 	}
@@ -76,6 +77,7 @@
 			return openConns.add(&conn{
 				Conn:         opened,
 				owner:        a,
+				answers:      options.Answers,
 				openConns:    openConns,
 				stallTimeout: stallTimeoutFactor * options.DialTimeout,
 			}), nil
@@ -138,7 +140,7 @@
 	defer response.Body.Close()
 	switch {
 	case response.StatusCode == http.StatusOK:
-		return attempt.readAcked(push.Context, response)
+		return attempt.readAcked(push.Context, response, a.answers)
 	case (response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusGatewayTimeout) &&
 		response.Header.Get(turnedAwayHeader) == "1":
 		discardBody(response)
@@ -232,14 +234,15 @@
 	return policy.Reset
 }
 
-// readAcked reads a 200 answer. An answer that ends early or has no defined end can't be told from one that was cut off by a
-// broken connection.
-func (a *pushAttempt) readAcked(ctx context.Context, response *http.Response) node.Result {
+// readAcked reads a 200 answer, once there is memory for it. An answer that ends early or has no defined end can't be told from one
+// that was cut off by a broken connection.
+func (a *pushAttempt) readAcked(ctx context.Context, response *http.Response, pool *memory.Pool) node.Result {
 	chunked := len(response.TransferEncoding) > 0
 	if response.ContentLength > node.MaxBodyBytes { // not read: it may announce 3 GB and send them
 		return node.Result{Outcome: policy.Errored}
 	}
-	body, err := node.ReadPayload(response.Body, response.ContentLength)
+	reservation := answerReservation{pool: pool}
+	body, err := reservation.read(ctx, response)
 	if err == nil && (response.ContentLength >= 0 || chunked) {
 		removeHopByHopHeaders(response.Header)
 		response.Header.Del(loadHeader)
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 )
@@ -21,6 +22,8 @@
 const (
 	// maxHeadBytes is the maximum length of an answer's status line and headers.
 	maxHeadBytes = 16 << 10
+	// maxHeadFields limits the fields of a head. A short field takes some hundred bytes once it is parsed.
+	maxHeadFields = 100
 	// stallTimeoutFactor times the dial timeout, the setting for what the network needs, is how long an answer that has
 	// begun may bring nothing.
 	stallTimeoutFactor = 2
@@ -66,6 +69,7 @@
 	openConns    *connSet
 	rawConn      syscall.RawConn // nil if the connection is not a socket
 	stallTimeout time.Duration   // how long an answer that has begun may bring nothing
+	answers      *memory.Pool    // for large heads; nil: they are not counted
 	written      atomic.Int32    // writtenNothing, writtenPartly or writtenFully
 
 	mu              sync.Mutex // guards the fields below
@@ -75,6 +79,7 @@
 	idleSince       time.Time  // start of the current idle time
 	hasServed       bool       // at least one answer was received
 	headBuffer      []byte     // the part of the head received so far
+	headMemory      int64      // reserved in answers
 	bodyLeft        int        // unread bytes of the body, or unknownLength
 	answerStarted   bool       // part of the answer to the current push was received
 	brokenByServer  bool       // ended or reset by the server
@@ -85,6 +90,10 @@
 
 // Close closes the connection and removes it from the open connections.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	c.state = stateUnusable
+	c.releaseHead()
+	c.mu.Unlock()
 	c.openConns.remove(c)
 	return c.Conn.Close()
 }
@@ -242,6 +251,7 @@
 			c.state = stateIdle
 			c.idleSince = time.Now()
 			c.hasServed = true
+			c.releaseHead()
 			c.refile()
 		}
 	}
@@ -274,6 +284,13 @@
 		return 0, false
 	}
 	length := headLength(head)
+	known := length
+	if known < 0 {
+		known = len(head)
+	}
+	if bytes.Count(head[:known], []byte("\n")) > maxHeadFields+2 || !c.growHead(known) { // with the status line and the empty one
+		return 0, false
+	}
 	if length < 0 {
 		if buffered == 0 {
 			c.headBuffer = append(c.headBuffer, b...)
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
 	"canvasrouter/policy"
@@ -17,16 +18,26 @@
 	DialTimeout       time.Duration // limit for opening a connection, including the wait for a socket
 	ServerIdleTimeout time.Duration // a server closes connections that were idle for this long; 0: not known
 	MaxInFlight       int           // maximum number of pushes in flight at a time
+	Answers           *memory.Pool  // for large answers, until clients have taken them; nil: they are not counted
+	Buffers           sockets.Buffers
 }
 
-// Pool holds an actor for each server on the list. It implements node.Servers: its methods are called by the node's actor
+// listedServer is a server on the list. A node pushes to a few of the servers that it knows, so an actor is started with the first
+// push.
+type listedServer struct {
+	addr      string
+	startedAt policy.Micros
+	actor     *serverActor // nil: not started
+}
+
+// Pool holds the servers on the list and an actor for each that gets pushes. It implements node.Servers: its methods are called by the node's actor
 // only, and they do not block.
 type Pool struct {
 	options   Options
 	budget    *sockets.Budget
 	log       zerolog.Logger
 	onPushEnd func(*node.Push, node.Result)
-	actors    map[policy.ServerID]*serverActor
+	servers   map[policy.ServerID]*listedServer
 	openConns *connSet
 }
 
@@ -37,14 +48,14 @@
 		budget:    budget,
 		log:       log,
 		onPushEnd: onPushEnd,
-		actors:    make(map[policy.ServerID]*serverActor),
+		servers:   make(map[policy.ServerID]*listedServer),
 		openConns: &connSet{budget: budget, conns: make(map[*conn]bool)},
 	}
 	budget.OnExhausted(p.openConns.closeLongestIdle)
 	return p
 }
 
-// UpdateList applies a server list: new servers get an actor, and the actors of removed servers end after their last push.
+// UpdateList applies a server list. The actors of removed servers end after their last push.
 func (p *Pool) UpdateList(list *node.List) {
 	if list.Form == policy.ListFailed {
 		return
@@ -56,7 +67,7 @@
 			continue
 		}
 		listed[e.Server] = true
-		if old := p.actors[e.Server]; old != nil {
+		if old := p.servers[e.Server]; old != nil {
 			// A server that has restarted, or moved to another address, does not know the connections that were kept
 			// open to it, and a push written on one of them would be reset.
 			if old.addr == list.Addrs[i] && old.startedAt == e.StartedAt {
@@ -64,12 +75,12 @@
 			}
 			p.retire(e.Server)
 		}
-		p.actors[e.Server] = p.startActor(e.Server, list.Addrs[i], e.StartedAt)
+		p.servers[e.Server] = &listedServer{addr: list.Addrs[i], startedAt: e.StartedAt}
 	}
 	if list.Form == policy.ListChanges {
 		return
 	}
-	for id := range p.actors {
+	for id := range p.servers {
 		if !listed[id] {
 			p.retire(id)
 		}
@@ -83,28 +94,30 @@
 		return
 	}
 	p.options = options
-	for id, old := range p.actors {
-		p.retire(id)
-		p.actors[id] = p.startActor(id, old.addr, old.startedAt)
+	for _, server := range p.servers {
+		server.stop()
 	}
 }
 
 // CloseIdle closes the idle connections to a server.
 func (p *Pool) CloseIdle(id policy.ServerID) {
-	if actor := p.actors[id]; actor != nil {
-		p.openConns.closeIdleOf(actor)
+	if server := p.servers[id]; server != nil && server.actor != nil {
+		p.openConns.closeIdleOf(server.actor)
 	}
 }
 
 // Push hands a push to its server's actor. It must not block, because it runs in the node's actor. The mailbox has room for
 // every push that can be in flight, so a full mailbox means that MaxInFlight is wrong; the push then ends as not connected.
 func (p *Pool) Push(push *node.Push) {
-	if actor := p.actors[push.Server]; actor != nil {
+	if server := p.servers[push.Server]; server != nil {
+		if server.actor == nil {
+			server.actor = p.startActor(push.Server, server)
+		}
 		select {
-		case actor.mailbox <- push:
+		case server.actor.mailbox <- push:
 			return
 		default:
-			p.log.Error().Str("server", actor.addr).Msg("mailbox of a server is full")
+			p.log.Error().Str("server", server.addr).Msg("mailbox of a server is full")
 		}
 	}
 	go func() {
@@ -114,17 +127,25 @@
 }
 
 // startActor starts an actor for a server.
-func (p *Pool) startActor(id policy.ServerID, addr string, startedAt policy.Micros) *serverActor {
+func (p *Pool) startActor(id policy.ServerID, server *listedServer) *serverActor {
 	log := p.log.With().Str("server", fmt.Sprintf("%012x", id)).Logger()
-	actor := newServerActor(addr, startedAt, p.options, p.budget, p.openConns, log, p.onPushEnd)
+	actor := newServerActor(server.addr, p.options, p.budget, p.openConns, log, p.onPushEnd)
 	go actor.run()
 	return actor
 }
 
-// retire removes a server's actor, which ends after its last push.
+// retire removes a server. Its actor ends after its last push.
 func (p *Pool) retire(id policy.ServerID) {
-	if actor := p.actors[id]; actor != nil {
-		close(actor.mailbox)
-		delete(p.actors, id)
+	if server := p.servers[id]; server != nil {
+		server.stop()
+		delete(p.servers, id)
+	}
+}
+
+// stop lets the server's actor end after its last push. The next push starts another one.
+func (s *listedServer) stop() {
+	if s.actor != nil {
+		close(s.actor.mailbox)
+		s.actor = nil
 	}
 }
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -679,9 +679,8 @@
 // TestFullMailbox checks that the node's actor does not wait for a server's actor.
 func TestFullMailbox(t *testing.T) {
 	r := newPoolHarness(t, "127.0.0.1:1")
-	r.actors[1].mailbox <- newPush(t.Context(), "GET", "/a", "") // its actor may receive this push
-	blocked := &serverActor{mailbox: make(chan *node.Push)}
-	r.actors[2] = blocked
+	r.Push(newPush(t.Context(), "GET", "/a", "")) // its actor receives this push
+	r.servers[2] = &listedServer{actor: &serverActor{mailbox: make(chan *node.Push)}}
 	p := newPush(t.Context(), "GET", "/a", "")
 	p.Server = 2
 	r.Push(p)
@@ -696,7 +695,7 @@
 // if the successor has the same address.
 func TestReplacements(t *testing.T) {
 	r := newPoolHarness(t, startServer(t, alwaysAnswer("fine")))
-	addr := r.actors[1].addr
+	addr := r.servers[1].addr
 	goroutinesBefore := runtime.NumGoroutine()
 	for i := range 400 {
 		r.UpdateList(&node.List{Form: policy.ListChanges, Addrs: []string{"", addr}, Entries: []policy.ListEntry{
@@ -717,8 +716,8 @@
 			t.Fatalf("%d connections and %d goroutines remain, had %d goroutines before", openConns(), runtime.NumGoroutine(), goroutinesBefore)
 		}
 	}
-	if len(r.actors) != 1 {
-		t.Errorf("%d actors remain", len(r.actors))
+	if len(r.servers) != 1 {
+		t.Errorf("%d servers remain", len(r.servers))
 	}
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -1,4 +1,4 @@
-// Package sockets divides the sockets that a process may open among clients, servers and the registry.
+// Package sockets limits the sockets that a process opens for clients, servers and the registry, and their buffers.
 package sockets
 
 import (
@@ -10,17 +10,6 @@
 	"golang.org/x/sync/semaphore"
 )
 
-const (
-	// reservedFiles are the file descriptors kept for the process itself: standard streams, the poller, the listener and
-	// files being read.
-	reservedFiles = 24
-	// registrySockets are the sockets for the registry: a watch, a request for the full list, and one of each that is being
-	// closed.
-	registrySockets = 4
-	// clientSocketBytes is the memory that a client's connection may take with the head of a request that is being read.
-	clientSocketBytes = 32 << 10
-)
-
 // Budget limits the number of open sockets for one purpose. Separate budgets keep one side from starving another: many clients
 // can't take the sockets to the servers that answer them.
 type Budget struct {
@@ -30,22 +19,6 @@
 	waiters   atomic.Int32 // callers of Acquire that are waiting
 }
 
-// Split divides the file descriptor limit of a process among clients, servers and the registry, and returns how many ops may
-// be pending at a time. Each op needs a client's socket and one to a server. Clients get no more sockets than a quarter of the
-// memory is enough for.
-//
-// An op whose connection waits in the listener's backlog counts as taken, and would be lost at its deadline. So clients get
-// more sockets than there may be pending ops, and excess ops are read and nacked at once. A shortage in this process would
-// look like servers that can't be reached. So servers get more sockets than there may be pending ops, for second pushes and
-// for connections that are being closed.
-func Split(limit, memoryMB int) (clients, servers, registry *Budget, ops int) {
-	available := limit - reservedFiles - registrySockets
-	serverSockets := available * 15 / 32
-	clientSockets := min(available-serverSockets, memoryMB<<20/4/clientSocketBytes)
-	ops = min(available*13/32, clientSockets*13/17)
-	return NewBudget(clientSockets), NewBudget(serverSockets), NewBudget(registrySockets), ops
-}
-
 // NewBudget returns a budget of size sockets.
 func NewBudget(size int) *Budget {
 	return &Budget{slots: semaphore.NewWeighted(int64(size)), closeIdle: func() {}, size: size}
