Frontend: an id that comes again right after its answer does not run twice

What callers saw: an id ran twice, when another client sent it again.

Cause: the id of an answered op was free at once, so a copy that another client sent a moment later was a new op, and a server outside of the group, or past the window, would run it again.

--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -49,10 +49,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if !s.opIDs.reserve(header.id) {
-		// Two ops with one id would be two runs of the same op to a server.
+	if err := s.reserveID(header.id); err != nil {
 		body.Release()
-		return nil, &requestError{http.StatusConflict, idHeader + " is that of an op in hand"}
+		return nil, err
 	}
 	op := node.NewOp()
 	op.Request = node.Request{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header, Body: body}
@@ -75,6 +74,18 @@
 	return op, nil
 }
 
+// reserveID reserves the id of an op. Two ops with one id would be two runs of the same op to a server. The error is a
+// *requestError.
+func (s *Server) reserveID(id string) error {
+	switch s.opIDs.reserve(id) {
+	case idTaken:
+		return &requestError{http.StatusConflict, idHeader + " is that of an op in hand"}
+	case idSetFull:
+		return &requestError{statusNacked, "too many ids of ops that may still run"}
+	}
+	return nil
+}
+
 // takeRequest takes a complete request, which must be answered from then on. It returns when its client gives up. The error is a
 // *requestError or errClientLeft.
 //
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -288,8 +288,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	}
-	answer := node.Answer{MayRunYet: true} // until there is one
-	defer func() { s.releaseID(op, answer.MayRunYet) }()
+	answer := node.Answer{Verdict: node.DeadLettered, MayRunYet: true} // until there is one
+	defer func() { s.releaseID(op, answer) }()
 	s.actor.Submit(op)
 	answer = s.awaitAnswer(r, op)
 	s.closeIfNeeded(w, r)
@@ -327,14 +327,15 @@
 }
 
 // releaseID lets the id of an op come again. While a push may still run it does not: the same id, as from a client that has left
-// and comes again, would run beside that push.
-func (s *Server) releaseID(op *node.Op, mayRunYet bool) {
+// and comes again, would run beside that push. Nor does it right after an answer, unless the op may run any number of times.
+func (s *Server) releaseID(op *node.Op, answer node.Answer) {
 	id := op.Header.Get(idHeader)
-	if !mayRunYet {
+	answered := answer.Verdict == node.Acked && op.Method != http.MethodGet
+	if !answer.MayRunYet && !answered {
 		s.opIDs.release(id)
 		return
 	}
-	time.AfterFunc(s.clock.Until(op.Deadline), func() { s.opIDs.release(id) })
+	s.opIDs.releaseAt(id, time.Now().Add(s.clock.Until(op.Deadline)), !answer.MayRunYet)
 }
 
 // writeAnswer writes the final answer of an op and releases its body.
