Sockets: a machine that lacks a socket for a moment does not take servers out

What callers saw: pushes that count as never connected, and servers that leave the rotation, while this machine has no socket, port or memory for a moment.

Cause: EMFILE, ENFILE, ENOBUFS, ENOMEM and EADDRNOTAVAIL came out of Dial like a refused connection. They say nothing about the server.

--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -82,7 +83,8 @@
 	Budget *Budget
 }
 
-// Dial opens a connection. The dialer's Timeout includes the wait for a slot.
+// Dial opens a connection. The dialer's Timeout includes the wait for a slot. While this machine lacks something for a socket, which
+// says nothing about the peer, Dial tries again.
 func (d *Dialer) Dial(ctx context.Context, network, addr string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
 	defer cancel()
@@ -90,6 +92,10 @@
 		return nil, err
 	}
 	conn, err := d.DialContext(ctx, network, addr)
+	for IsShortage(err) && ctx.Err() == nil {
+		time.Sleep(TransientPause)
+		conn, err = d.DialContext(ctx, network, addr)
+	}
 	if err != nil {
 		d.Budget.Release()
 		return nil, err
