Frontend: a failed accept, or an address in use at the start, does not end the node

What operators saw: a process that ended by itself.

Cause: any error of accept that net/http does not call temporary ends Serve, and that the process: ENOBUFS, ENOMEM, ENETUNREACH, ENETDOWN, EHOSTUNREACH, EHOSTDOWN, EPROTO, ENOPROTOOPT, ENONET, EPERM. After those that it does, ENFILE, EMFILE and ETIMEDOUT, it waits up to 1 s. At a drain any error closed the listener over its backlog. A start failed at once when another process held the address or no socket was free.

Change: the listener tries again after 5 ms, whatever the error, unless it tells of a defect of the process (EBADF, EFAULT, EINVAL, ENOTSOCK, EOPNOTSUPP). Opening it is tried for 5 s.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -11,8 +11,11 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"canvasrouter/internal/sockets"
 )
 
@@ -41,6 +44,7 @@
 	emptyingBacklog bool                       // drainAcceptTime has passed
 	acceptsInTurn   int                        // accepts since all others had their turn
 	onShortage      func(waited time.Duration) // called while a connection waits for a socket
+	onAcceptError   func(error)                // called when accept has failed and is tried again
 
 	waitingSince    atomic.Pointer[time.Time] // last byte of the connection that waits for a socket; nil: none waits
 	shortSince      atomic.Pointer[time.Time] // when connections began to wait; nil: the backlog has been empty since
@@ -48,6 +52,22 @@
 	backlogDeadline atomic.Pointer[time.Time] // when emptying the backlog ends at the latest; set by drain
 }
 
+// listenTimeout is how long a listener that can't be opened is tried again: the process before may still hold the address, or the
+// machine may lack something for a moment.
+const listenTimeout = 5 * time.Second
+
+// openListener does the work of listenTCP, and tries again for listenTimeout.
+func openListener(addr string, backlog int, buffers sockets.Buffers, log zerolog.Logger) (*net.TCPListener, error) {
+	for started := time.Now(); ; time.Sleep(10 * sockets.TransientPause) {
+		tcp, err := listenTCP(addr, backlog, buffers)
+		mayPass := sockets.IsShortage(err) || errors.Is(err, syscall.EADDRINUSE)
+		if err == nil || !mayPass || time.Since(started) > listenTimeout {
+			return tcp, err
+		}
+		log.Warn().Err(err).Str("addr", addr).Msg("can't listen yet")
+	}
+}
+
 // listenTCP opens a listener with a backlog of a size; 0 is the system's. Connections take over the listener's buffers.
 func listenTCP(addr string, backlog int, buffers sockets.Buffers) (*net.TCPListener, error) {
 	config := net.ListenConfig{Control: buffers.Control}
@@ -63,9 +83,9 @@
 }
 
 // newListener returns a listener that accepts connections within limits.
-func newListener(tcp *net.TCPListener, limits Limits, openConns *openConnSet, onShortage func(waited time.Duration)) *listener {
+func newListener(tcp *net.TCPListener, limits Limits, openConns *openConnSet) *listener {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &listener{TCPListener: tcp, limits: limits, openConns: openConns, ctx: ctx, cancel: cancel, onShortage: onShortage}
+	return &listener{TCPListener: tcp, limits: limits, openConns: openConns, ctx: ctx, cancel: cancel}
 }
 
 // Accept accepts a connection, and waits until a socket of the budget is free for it. During a drain it empties the backlog,
@@ -96,6 +116,9 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			l.refuseBacklog(nil)
 			return nil, net.ErrClosed
+		case sockets.AcceptMayPass(err):
+			l.onAcceptError(err)
+			time.Sleep(sockets.TransientPause)
 		default:
 			return nil, err
 		}
@@ -193,10 +216,15 @@
 	for acceptDeadline := time.Now().Add(refusalTimeout); acceptDeadline.Before(end); acceptDeadline = time.Now().Add(refusalTimeout) {
 		l.SetDeadline(acceptDeadline)
 		tcp, err := l.AcceptTCP()
-		if err != nil {
-			break
+		switch {
+		case err == nil:
+			startRefusal(tcp)
+		case sockets.AcceptMayPass(err):
+			l.onAcceptError(err)
+			time.Sleep(sockets.TransientPause)
+		default: // the backlog is empty
+			end = acceptDeadline
 		}
-		startRefusal(tcp)
 	}
 	l.TCPListener.Close()
 	refusals.Wait()
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -115,7 +115,7 @@
 // Listen opens the listener and returns a server that answers on it once Serve is called.
 func Listen(addr string, options Options, limits Limits, actor Actor, clock *node.Clock,
 	log zerolog.Logger) (*Server, error) {
-	tcpListener, err := listenTCP(addr, limits.Backlog, limits.BacklogBuffers)
+	tcpListener, err := openListener(addr, limits.Backlog, limits.BacklogBuffers, log)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +129,9 @@
 		sampledLog: sampledLog,
 		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
-	s.listener = newListener(tcpListener, limits, &s.openConns, s.logShortage)
+	s.listener = newListener(tcpListener, limits, &s.openConns)
+	s.listener.onShortage = s.logShortage
+	s.listener.onAcceptError = s.logAcceptError
 	s.SetOptions(options)
 	limits.Sockets.OnExhausted(s.reclaimSocket)
 	s.http = &http.Server{
@@ -178,6 +180,11 @@
 	}
 }
 
+// logAcceptError logs that accepting fails for a moment.
+func (s *Server) logAcceptError(err error) {
+	s.sampledLog.Warn().Err(err).Msg("accept failed, tried again")
+}
+
 // SetOptions applies other settings to requests that begin from now on.
 func (s *Server) SetOptions(options Options) { s.options.Store(&options) }
 
