Serve: neither a log without a reader nor a panic in a reload ends the process

Cause: Go ends a process by SIGPIPE when a write to its standard error finds no reader; the next log line after the reader has gone did that. A panic while a configuration is read or taken over would end the process, too (read, not seen).

Change: SIGPIPE is ignored, and a panic of a reload is an error that leaves the running configuration in force.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -51,6 +51,7 @@
 // Main runs the node until SIGTERM or an interrupt and returns its exit code: 0 after a planned restart, 1 after a failure,
 // 2 if the configuration is invalid. The error is one line on standard error.
 func Main(o Options) int {
+	signal.Ignore(syscall.SIGPIPE) // a write to a log that nobody reads any more would end the process
 	// Until SIGHUP is caught it ends the process. One that arrives during the start waits in this channel.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
@@ -258,13 +259,7 @@
 func (p *process) reconfigure() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	file, err := config.Load(p.Getenv)
-	if err == nil {
-		file, err = p.store.overlay(file)
-	}
-	if err == nil {
-		err = p.install(file)
-	}
+	file, err := p.loadAndInstall()
 	if err != nil {
 		// The file may be half written; the running configuration stays in force.
 		p.log.Error().Err(err).Msg("configuration not taken over, the running one stays")
@@ -273,6 +268,22 @@
 	p.store.fileReread(file)
 }
 
+// loadAndInstall reads the configuration and puts it into force. A panic is an error: a configuration must not end the process.
+func (p *process) loadAndInstall() (file *config.Config, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v\n%s", r, debug.Stack())
+		}
+	}()
+	if file, err = config.Load(p.Getenv); err != nil {
+		return nil, err
+	}
+	if file, err = p.store.overlay(file); err != nil {
+		return nil, err
+	}
+	return file, p.install(file)
+}
+
 // install puts a configuration into force as a whole, or returns an error and leaves the current one in force. p.mu is
 // held.
 func (p *process) install(file *config.Config) error {
