Servers, registry: a panic in one push or watch does not end the process

Cause: each push and each watch runs in a goroutine of its own, where a panic ends the process, with all that it has taken.

Change: a push that panics counts as reset, since it may have run, and a watch as ended; both are logged with the stack. TestPanicDuringPush ended the test's process before.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -13,6 +13,7 @@
 	"math/rand"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -234,7 +235,7 @@
 // runWatch keeps one watch open until it ends, reports the end as a failure unless ctx is done, and requests the next
 // watch after a delay.
 func (c *Client) runWatch(ctx context.Context) {
-	err := c.watch(ctx)
+	err := c.watchSafely(ctx)
 	// A change that a silent watch misses counts as delivered soon afterwards, and the backoff that spares a registry
 	// that is down would use up that time. So a watch that was established and then fell silent is reopened without
 	// backoff: the first time always, later only if the reopened watch has brought more than its first line.
@@ -243,7 +244,7 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(time.Duration(c.rng.Int63n(int64(c.firstRetryDelay()) + 1))):
-			err = c.watch(ctx)
+			err = c.watchSafely(ctx)
 		}
 	}
 	if ctx.Err() != nil {
@@ -371,6 +372,16 @@
 	s.body.Close()
 }
 
+// watchSafely does the work of watch. A panic would end the process; it ends the watch with an error.
+func (c *Client) watchSafely(ctx context.Context) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("panic: %v\n%s", r, debug.Stack())
+		}
+	}()
+	return c.watch(ctx)
+}
+
 // watch opens a watch and reports what it brings until it ends. It returns the reason for the end.
 //
 // Changes of a generation before the known one come from another registry process, which counts from below: the changes before
--- a/internal/servers/actor.go
+++ b/internal/servers/actor.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,8 +97,7 @@
 	var inFlight sync.WaitGroup
 	for push := range a.mailbox {
 		inFlight.Go(func() {
-			result := a.sendUntilDone(push)
-			a.onPushEnd(push, result)
+			a.onPushEnd(push, a.sendSafely(push))
 		})
 	}
 	a.openConns.closeIdleOf(a) // before the last push ends, since no new push comes
@@ -105,6 +105,17 @@
 	a.transport.CloseIdleConnections()
 }
 
+// sendSafely does the work of sendUntilDone. A panic would end the process; the push may have run then.
+func (a *serverActor) sendSafely(push *node.Push) (result node.Result) {
+	defer func() {
+		if r := recover(); r != nil {
+			a.log.Error().Interface("panic", r).Bytes("stack", debug.Stack()).Msg("push")
+			result = node.Result{Outcome: policy.Reset}
+		}
+	}()
+	return a.sendUntilDone(push)
+}
+
 // sendUntilDone sends a push and reads its whole answer.
 //
 // A reused connection may have ended, or have received unsolicited bytes, since its last use. Nothing of the push was
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -676,6 +676,19 @@
 	}
 }
 
+// TestPanicDuringPush guards against a process that ends because sending one push panics.
+func TestPanicDuringPush(t *testing.T) {
+	r := newPoolHarness(t, startServer(t, alwaysAnswer("fine")))
+	broken := newPush(t.Context(), "GET", "/a", "")
+	broken.Header = nil // fields are added to it
+	if got := r.pushAndWait(t, broken); got != policy.Reset {
+		t.Errorf("got outcome %v", got)
+	}
+	if got := r.pushAndWait(t, newPush(t.Context(), "GET", "/a", "")); got != policy.Acked {
+		t.Errorf("the next push: got outcome %v", got)
+	}
+}
+
 // TestFullMailbox checks that the node's actor does not wait for a server's actor.
 func TestFullMailbox(t *testing.T) {
 	r := newPoolHarness(t, "127.0.0.1:1")
