Logs and metrics: memory by part, ids, states, and why closed, retried or refused

Change: counters by reason, each with a line a second at most: bad requests with client and id, connections closed for others, clients that left, ops not served, pushes that failed with their state, further pushes with the gap since the first and how long they may wait. A line `status` every 10 s and at the end has the limits and memory by part, the cost of collecting, and all counters.

Calls of closeUnfinished in tests name a reason now; their checks are unchanged. Frontend, servers, node, sim and policy tests pass.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -288,8 +288,9 @@
 
 // closeUnfinished closes the connection if it has no complete request, and check holds while no byte can be read. If part of
 // a request was received, it is nacked: its last byte may have been read in the meantime, and then it must be answered.
-func (c *conn) closeUnfinished(check func() bool) bool {
+func (c *conn) closeUnfinished(reason string, check func() bool) bool {
 	c.mu.Lock()
+	use := c.use()
 	closing := check()
 	switch {
 	case !closing:
@@ -301,11 +302,19 @@
 	c.refile()
 	c.mu.Unlock()
 	if closing {
+		c.recordClosed(reason, use)
 		c.Close()
 	}
 	return closing
 }
 
+// recordClosed counts the connection as closed by this process.
+func (c *conn) recordClosed(reason string, use connUse) {
+	if c.set != nil {
+		c.set.recordClosed(c, reason, use)
+	}
+}
+
 // isIncomplete reports whether the connection has no complete request and has received nothing for a duration. The kernel is
 // asked as well: while this process is not scheduled, bytes may be unread, or read and not yet recorded.
 func (c *conn) isIncomplete(quiet time.Duration) bool {
--- a/internal/frontend/connset.go
+++ b/internal/frontend/connset.go
@@ -7,10 +7,16 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"canvasrouter/internal/counters"
 )
 
 // openConnSet holds the open connections.
 type openConnSet struct {
+	log    zerolog.Logger
+	closed counters.Set // connections that were closed or refused by this process before a request was served, by the reason
 	checks atomic.Int64 // connections looked at so far because another one waited for a socket
 
 	mu          sync.Mutex // guards the fields below; may be locked while holding the mu of a connection, not the reverse
@@ -83,6 +89,14 @@
 	}
 }
 
+// recordClosed counts a connection that is closed by this process, and logs what it was held for.
+func (s *openConnSet) recordClosed(clientConn *conn, reason string, use connUse) {
+	s.closed.Log(s.log.Info(), reason, "connection closed", func(line *zerolog.Event) {
+		line.Stringer("client", clientConn.tcp.RemoteAddr()).Stringer("use", use).
+			Int64("age_ms", time.Since(clientConn.acceptedAt).Milliseconds())
+	})
+}
+
 // empty reports whether no connection is open.
 func (s *openConnSet) empty() bool {
 	s.mu.Lock()
@@ -116,6 +130,6 @@
 	}
 	s.mu.Unlock()
 	for _, clientConn := range incomplete {
-		clientConn.closeUnfinished(func() bool { return clientConn.isIncomplete(quiet) })
+		clientConn.closeUnfinished("incomplete at the end of the process", func() bool { return clientConn.isIncomplete(quiet) })
 	}
 }
--- a/internal/frontend/opids.go
+++ b/internal/frontend/opids.go
@@ -73,6 +73,13 @@
 	heap.Push(queue, expiry{key, at})
 }
 
+// size returns the number of reserved ids.
+func (s *opIDSet) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.reserved)
+}
+
 // removeExpired removes the ids that are free by now. The caller holds mu.
 func (s *opIDSet) removeExpired(queue *expiryQueue, now time.Time) {
 	for len(*queue) > 0 && !(*queue)[0].at.After(now) {
--- a/internal/frontend/reclaim.go
+++ b/internal/frontend/reclaim.go
@@ -42,6 +42,12 @@
 	reclaimRankCount                    // number of ranks
 )
 
+// String returns why a connection of the rank is closed, for the log.
+func (r reclaimRank) String() string {
+	return "for another one: " + [reclaimRankCount]string{reclaimRefused: "refused", reclaimSilent: "silent", reclaimStalled: "stopped in a request",
+		reclaimIdle: "idle", reclaimPaused: "paused in a request", reclaimUnread: "answer unread", reclaimSlow: "slow request"}[r]
+}
+
 // shortage describes how connections wait for a socket.
 type shortage struct {
 	waited time.Duration // since the last byte of the connection that waits, including its time in the backlog
@@ -130,13 +136,14 @@
 		closing := canReclaim() && c.state.CompareAndSwap(connHasRequest, connClosed)
 		c.mu.Unlock()
 		if closing {
+			c.recordClosed(rank.String(), usePending)
 			c.Close()
 		}
 		return closing
 	case reclaimRefused, reclaimSlow:
-		return c.closeUnfinished(canReclaim)
+		return c.closeUnfinished(rank.String(), canReclaim)
 	default:
-		return c.closeUnfinished(func() bool { return canReclaim() && !hasUnread(c.tcp) })
+		return c.closeUnfinished(rank.String(), func() bool { return canReclaim() && !hasUnread(c.tcp) })
 	}
 }
 
--- a/internal/frontend/reclaim_test.go
+++ b/internal/frontend/reclaim_test.go
@@ -344,7 +344,7 @@
 			awaitCondition(t, "bytes were not read", func() bool {
 				return clientConn.reading.Load() && !hasUnread(clientConn.tcp) && (c.part == "" || clientConn.lastRead.Load() > 0)
 			})
-			if !clientConn.closeUnfinished(always) {
+			if !clientConn.closeUnfinished("test", always) {
 				t.Fatal("connection was not closed")
 			}
 			io.WriteString(partial.Conn, whole[len(c.part):]) // may fail: the close may be known here
@@ -369,7 +369,7 @@
 			defer clientConn.mu.Unlock()
 			return clientConn.phase == phaseHandler
 		})
-		closed := clientConn.closeUnfinished(always)
+		closed := clientConn.closeUnfinished("test", always)
 		r.opIDs.mu.Unlock()
 		if got := partial.readAnswer(); !closed || got != "503 close" || len(ops) > 0 {
 			t.Errorf("closed: %v, got %q, %d ops were taken", closed, got, len(ops))
@@ -407,7 +407,7 @@
 		c := r.dial(t)
 		io.WriteString(c.Conn, whole)
 		op := <-ops
-		if r.awaitOpenConn(t).closeUnfinished(always) {
+		if r.awaitOpenConn(t).closeUnfinished("test", always) {
 			t.Error("connection was closed after its request was taken")
 		}
 		echo(op)
--- a/internal/frontend/refusal.go
+++ b/internal/frontend/refusal.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/rs/zerolog"
 )
 
 // refusalAnswer is the answer to a request that is given up before it is complete. It is a nack: nothing of it was pushed.
@@ -49,6 +51,7 @@
 	if !c.markRefused() {
 		return
 	}
+	c.recordClosed(c.refusal.reason, usePartial)
 	c.tcp.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	fmt.Fprintf(c.tcp, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		c.refusal.status, http.StatusText(c.refusal.status), len(c.refusal.reason), c.refusal.reason)
@@ -70,10 +73,19 @@
 	if c, ok := connOf(r); ok && !c.markRefused() {
 		panic(http.ErrAbortHandler) // this process has closed the connection
 	}
-	s.sampledLog.Warn().Int("status", refused.status).Str("reason", refused.reason).Msg("bad request")
+	s.refused.Log(s.log.Warn(), refused.reason, "bad request", func(line *zerolog.Event) {
+		line.Int("status", refused.status).Str("client", r.RemoteAddr).Str("id", shortened(r.Header.Get(idHeader))).
+			Str("target", shortened(r.RequestURI)).Int64("length", r.ContentLength)
+	})
 	answerAndClose(w, r, refused.status, refused.reason)
 }
 
+// maxLoggedBytes limits what a log line tells of a text that a client has sent.
+const maxLoggedBytes = 64
+
+// shortened returns the beginning of a text.
+func shortened(text string) string { return text[:min(len(text), maxLoggedBytes)] }
+
 // answerReady answers a readiness check.
 func (s *Server) answerReady(w http.ResponseWriter, r *http.Request) {
 	c, ok := connOf(r)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"canvasrouter/internal/counters"
 	"canvasrouter/internal/memory"
 	"canvasrouter/internal/node"
 	"canvasrouter/internal/sockets"
@@ -90,7 +91,9 @@
 	shortage   zerolog.Logger // rate-limited log for shortages of sockets
 	http       *http.Server
 	listener   *listener
-	opIDs      opIDSet // of the pending ops
+	refused    counters.Set // requests that were not taken, by the reason
+	left       counters.Set // clients that left before their answer, by how that was noticed
+	opIDs      opIDSet      // of the pending ops
 	openConns  openConnSet
 	bodyMemory bodyMemory
 	drain      atomic.Pointer[drainState] // nil until a planned restart begins
@@ -130,6 +133,7 @@
 		shortage:   log.Sample(&zerolog.BurstSampler{Burst: 1, Period: shortageLogInterval}),
 	}
 	s.listener = newListener(tcpListener, limits, &s.openConns)
+	s.openConns.log = log
 	s.listener.onShortage = s.logShortage
 	s.listener.onAcceptError = s.logAcceptError
 	s.SetOptions(options)
@@ -172,6 +176,15 @@
 	s.openConns.reclaimSocket(s.listener.shortage(), s.options.Load().usualGrace())
 }
 
+// MarshalZerologObject writes what the connections are held for, and what was closed or refused so far and why.
+func (s *Server) MarshalZerologObject(line *zerolog.Event) {
+	line.Object("connections", s.openConns.countUses()).
+		Object("closed", &s.openConns.closed).
+		Object("refused", &s.refused).
+		Object("left", &s.left).
+		Int("ids", s.opIDs.size())
+}
+
 // logShortage logs what the clients' sockets are held for while a new connection waits for one.
 func (s *Server) logShortage(waited time.Duration) {
 	if event := s.shortage.Warn(); event.Enabled() {
@@ -317,6 +330,7 @@
 		check = c.disconnectTimer.C
 	}
 	for {
+		reason := "end of the connection was read"
 		select {
 		case answer := <-op.Answered():
 			return answer
@@ -326,9 +340,12 @@
 				c.disconnectTimer.Reset(disconnectCheckInterval)
 				continue
 			}
-			s.log.Debug().Msg("client left unread")
+			reason = "unread bytes ahead of the end"
 		}
 		s.actor.Abandon(op)
+		s.left.Log(s.log.Info(), reason, "client left", func(line *zerolog.Event) {
+			line.Str("id", shortened(op.Header.Get(idHeader))).Str("client", r.RemoteAddr)
+		})
 		return <-op.Answered()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	peers         Peers                       // nil: no peer messaging
 	weightFactors map[policy.ServerID]float64 // remaining fraction of a server's weight after the peers' reports; absent: 1
 
+	statistics Statistics
+
 	ops               map[policy.OpID]*Op
 	pendingOps        int           // ops not yet settled
 	rejectedOps       int           // nacked over the limit since the last log line about it
@@ -199,7 +201,7 @@
 		for _, push := range op.pushes {
 			push.cancel()
 		}
-		n.settle(op, Answer{Verdict: DeadLettered})
+		n.settle(op, Answer{Verdict: DeadLettered}, "the process ends")
 	}
 	n.rejectRemaining()
 }
@@ -234,7 +236,7 @@
 	case opSubmitted:
 		n.admit(message.op)
 	case opAbandoned:
-		n.abandon(message.op, ClientLeft)
+		n.abandon(message.op, ClientLeft, "client left")
 	case shutdownDeadlineSet:
 		n.applyShutdownDeadline(message.deadline)
 	case pushEnded:
@@ -257,7 +259,7 @@
 func (n *Node) admit(op *Op) {
 	n.pendingOps++
 	if n.pendingOps > n.newestGeneration().Options.MaxPendingOps {
-		n.settle(op, Answer{Verdict: Nacked, OverLimit: true})
+		n.settle(op, Answer{Verdict: Nacked, OverLimit: true}, "more ops than sockets and memory allow")
 		if n.rejectedOps++; n.stepTime-n.rejectionLoggedAt >= policy.Second {
 			n.log.Warn().Int("nacked", n.rejectedOps).Int("in hand", n.pendingOps).Msg("more ops than sockets allow")
 			n.rejectedOps = 0
@@ -266,11 +268,11 @@
 		return
 	}
 	if op.generation = n.generation(op.GenerationNumber); op.generation == nil {
-		n.settle(op, Answer{Verdict: Nacked}) // nothing has run, and its category number may mean another category by now
+		n.settle(op, Answer{Verdict: Nacked}, "other settings by now") // nothing has run, and its category number may mean another category by now
 		return
 	}
 	if !op.clientConnected() {
-		n.settle(op, Answer{Verdict: ClientLeft}) // the module is not told of it
+		n.settle(op, Answer{Verdict: ClientLeft}, "client left before the first push") // the module is not told of it
 		return
 	}
 	op.generation.opCount++
@@ -308,7 +310,7 @@
 	if deadline := op.Deadline + op.generation.Options.AnswerSlack; n.shutdownDeadline == 0 || deadline <= n.shutdownDeadline {
 		op.answerTimer = n.timers.set(deadline, func() {
 			n.log.Error().Uint32("op", uint32(op.id)).Msg("op overdue, dead-lettered")
-			n.abandon(op, DeadLettered)
+			n.abandon(op, DeadLettered, "overdue")
 		})
 		return
 	}
@@ -326,15 +328,15 @@
 	if op.mayHaveRun {
 		verdict = DeadLettered
 	}
-	n.abandon(op, verdict)
+	n.abandon(op, verdict, "the process ends")
 }
 
 // abandon settles an op without a decision of the module, and then notifies the module.
-func (n *Node) abandon(op *Op, verdict Verdict) {
+func (n *Node) abandon(op *Op, verdict Verdict, reason string) {
 	if op.settled {
 		return
 	}
-	n.settle(op, Answer{Verdict: verdict})
+	n.settle(op, Answer{Verdict: verdict}, reason)
 	n.step(op.generation, &policy.Input{Kind: policy.OpAbandoned, Op: op.id})
 	n.removeIfFinished(op)
 }
@@ -359,18 +361,19 @@
 		}
 	}
 	push.ended = true
+	n.statistics.recordPushEnd(n.log, push, result.Outcome, took)
 	if !policy.NeverRan(result.Outcome) {
 		op.mayHaveRun = true
 	}
 	if !op.clientConnected() {
-		n.settle(op, Answer{Verdict: ClientLeft}) // otherwise the module might push it again
+		n.settle(op, Answer{Verdict: ClientLeft}, "client left during a push") // otherwise the module might push it again
 	}
 	op.inFlight--
 	n.timers.stop(push.timeoutTimer)
 	n.timers.stop(push.beginTimer)
 	push.cancel()
 	if result.Outcome == policy.Acked && !op.settled {
-		n.settle(op, Answer{Verdict: Acked, Header: result.Header, Body: result.Body})
+		n.settle(op, Answer{Verdict: Acked, Header: result.Header, Body: result.Body}, "by a server")
 	} else {
 		result.Body.Release()
 	}
@@ -408,8 +411,9 @@
 	}
 }
 
-// settle gives an op its final answer and withdraws its unsent pushes. It releases the answer if the op is already settled.
-func (n *Node) settle(op *Op, answer Answer) {
+// settle gives an op its final answer and withdraws its unsent pushes. It releases the answer if the op is already settled. The reason
+// is for the log.
+func (n *Node) settle(op *Op, answer Answer, reason string) {
 	if op.settled {
 		answer.Body.Release()
 		return
@@ -420,6 +424,7 @@
 		line.Uint32("op", uint32(op.id)).Uint8("category", uint8(op.Category)).Stringer("verdict", answer.Verdict).
 			Int("pushes", len(op.pushes)).Int64("left_ms", n.clock.Until(op.Deadline).Milliseconds()).Msg("answer")
 	}
+	n.statistics.recordAnswer(n.log, op, answer.Verdict, reason)
 	n.timers.stop(op.answerTimer)
 	answer.MayRunYet = op.mayHaveRun && answer.Verdict != Acked
 	for _, push := range op.pushes {
@@ -495,7 +500,7 @@
 // answerOp settles an op with the answer that the module decided on.
 func (n *Node) answerOp(id policy.OpID, answer Answer) {
 	if op := n.ops[id]; op != nil {
-		n.settle(op, answer)
+		n.settle(op, answer, "by decision")
 		n.removeIfFinished(op)
 	}
 }
@@ -539,6 +544,7 @@
 		return
 	}
 	n.setPushTimers(push)
+	n.statistics.recordPush(n.log, push)
 	if line := n.log.Debug(); line.Enabled() {
 		line.Uint32("op", uint32(op.id)).Uint8("push", uint8(push.number)).Str("server", fmt.Sprintf("%012x", push.Server)).
 			Int64("for_ms", int64(push.Timeout/policy.Millisecond)).Msg("push")
--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -143,9 +143,10 @@
 	state        atomic.Uint32 // pushUnsent, pushBegun or pushWithdrawn
 	createdAt    time.Time     // zero: TimeLeft is always the whole Timeout
 	cancel       context.CancelFunc
-	sentAt       policy.Micros // step time at which the push was created
-	beginBefore  policy.Micros // the push must not begin from then on
-	ended        bool          // reported to the module
+	sentAt       policy.Micros  // step time at which the push was created
+	beginBefore  policy.Micros  // the push must not begin from then on
+	ended        bool           // reported to the module
+	outcome      policy.Outcome // set once ended
 	timeoutTimer *timer
 	beginTimer   *timer // withdraws the push at beginBefore; nil if the push times out before
 }
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -168,7 +168,10 @@
 	serveEnded := make(chan error, 1)
 	go func() { serveEnded <- clientServer.Serve() }()
 	log.Info().Str("listen", c.Listen).Int("tier", c.Rules.Topology.Tier).Int("servers", len(cachedList.Entries)).
-		Int("sockets", c.Sockets).Msg("node starts")
+		Int("sockets", c.Sockets).Int("memory_mb", c.MemoryMB).Int("client_sockets", plan.ClientSockets).
+		Int("server_sockets", plan.ServerSockets).Int("pending_ops", plan.PendingOps).Int("backlog", plan.Backlog).Msg("node starts")
+	go p.logStatus(runCtx)
+	defer p.logStatusOnce()
 
 	select {
 	case <-terminate.Done():
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -186,11 +186,13 @@
 	}
 	if c.state != stateIdle || c.hasUnread() {
 		c.state = stateUnusable
+		c.openConns.recordClosed("ended or received bytes before a push")
 		return false
 	}
 	// The push may have waited long for a connection, or for the connection's idle time.
 	if c.push != nil && !c.push.TryBegin() {
 		c.state = stateUnusable
+		c.openConns.recordClosed("push withdrawn")
 		return false
 	}
 	c.push = nil
@@ -228,6 +230,7 @@
 	case c.state == stateIdle || c.state == stateUnusable:
 		c.state = stateUnusable
 		c.refile()
+		c.openConns.recordClosed("bytes that belong to no push")
 		return 0, errUnsolicitedBytes
 	}
 	c.answerStarted = true
@@ -244,6 +247,7 @@
 		}
 		if !ok {
 			c.state = stateUnusable
+			c.openConns.recordClosed("malformed answer, or no memory for its head")
 			return 0, errMalformedAnswer
 		}
 		used += n
@@ -257,6 +261,7 @@
 	}
 	if used < len(b) {
 		// Excess bytes: report an end right after the answer, so that the transport does not reuse the connection.
+		c.openConns.recordClosed("bytes after an answer")
 		c.state = stateUnusable
 		c.refile()
 		return used, io.EOF
@@ -336,6 +341,7 @@
 	}
 	c.mu.Unlock()
 	if free {
+		c.openConns.recordClosed("idle")
 		c.Close()
 	}
 }
--- a/internal/servers/connset.go
+++ b/internal/servers/connset.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"canvasrouter/internal/counters"
 	"canvasrouter/internal/sockets"
 )
 
@@ -16,6 +17,7 @@
 // The transport counts a connection as idle before it has handed on an answer without a body, and its own
 // CloseIdleConnections would lose that answer. So connections are closed here, and only after minIdleTime.
 type connSet struct {
+	closed counters.Set // connections that can't be used again, by the reason
 	budget *sockets.Budget
 	mu     sync.Mutex // guards the fields below; may be locked while holding the mu of a connection, not the reverse
 	conns  map[*conn]bool
@@ -35,6 +37,13 @@
 	return c
 }
 
+// recordClosed counts a connection that is closed by this process. It does nothing on a nil set.
+func (s *connSet) recordClosed(reason string) {
+	if s != nil {
+		s.closed.Add(reason)
+	}
+}
+
 // setIdle records whether a connection is idle. One that has become idle goes to the end of the list. It does nothing on a nil
 // set and for a connection that is being closed.
 func (s *connSet) setIdle(c *conn, idle bool) {
@@ -57,6 +66,13 @@
 	}
 }
 
+// count returns the number of connections, and of the idle ones.
+func (s *connSet) count() (open, idle int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), s.idle.Len()
+}
+
 // remove removes a connection that is being closed. It does nothing on a nil set.
 func (s *connSet) remove(c *conn) {
 	if s == nil {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -149,3 +149,9 @@
 		s.actor = nil
 	}
 }
+
+// MarshalZerologObject writes the number of connections, and of those that were closed and why.
+func (p *Pool) MarshalZerologObject(line *zerolog.Event) {
+	open, idle := p.openConns.count()
+	line.Int("open", open).Int("idle", idle).Object("closed", &p.openConns.closed)
+}
