Servers: a repeat that servers no longer drop does not arrive whole any more

What callers saw: a keyed request ran again after the window of its repeats.

Cause: the window was looked at before the first byte alone. A server that takes bytes slowly got the last one when it had forgotten the key; the kernel sends on what it has taken, also after the connection was closed.

Change: at the end of the window a repeat of which part has not been acknowledged ends with its connection, and a connection that is closed over such bytes is reset, so that a push that was given up does not arrive afterwards.

A write deadline alone was tried first and did not help: the kernel takes 64 kB at once.

--- a/internal/node/op.go
+++ b/internal/node/op.go
@@ -203,6 +203,14 @@
 // mayBegin reports whether the push is still in time, and its client waits for it.
 func (p *Push) mayBegin() bool { return p.clock.Now() < p.beginBefore && p.op.clientConnected() }
 
+// WriteBefore returns the time before which the whole push must have reached its server, or zero if that is only its time-out.
+func (p *Push) WriteBefore() time.Time {
+	if p.op == nil || p.beginBefore >= p.sentAt+p.Timeout {
+		return time.Time{}
+	}
+	return time.Now().Add(p.clock.Until(p.beginBefore))
+}
+
 // Withdrawn reports whether the push was withdrawn, so that nothing of the push was written or ever will be.
 func (p *Push) Withdrawn() bool { return p.state.Load() == pushWithdrawn }
 
--- a/internal/servers/conn.go
+++ b/internal/servers/conn.go
@@ -74,6 +74,7 @@
 
 	mu              sync.Mutex // guards the fields below
 	push            *node.Push // the push that the connection is assigned to, until its first write
+	assignment      int        // number of the push that the connection is assigned to
 	unwritten       bool       // the assigned push has written nothing yet
 	state           connState  // what is expected next
 	idleSince       time.Time  // start of the current idle time
@@ -88,9 +89,13 @@
 	idlePlace *list.Element // in the set's list of idle connections; guarded by the mu of the set
 }
 
-// Close closes the connection and removes it from the open connections.
+// Close closes the connection and removes it from the open connections. If part of a push has not reached the server, the connection
+// is reset: the kernel would go on sending a push that is given up.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	if tcp, ok := c.tcp(); ok && c.state != stateIdle && sockets.Unsent(c.rawConn) > 0 {
+		tcp.SetLinger(0)
+	}
 	c.state = stateUnusable
 	c.releaseHead()
 	c.mu.Unlock()
@@ -98,6 +103,12 @@
 	return c.Conn.Close()
 }
 
+// tcp returns the TCP connection, if it is one.
+func (c *conn) tcp() (*net.TCPConn, bool) {
+	tcp, ok := c.Conn.Conn.(*net.TCPConn)
+	return tcp, ok
+}
+
 // idleTimeNeeded returns how much longer the connection has to be idle before a push may be written. A new connection has
 // received nothing and needs no idle time.
 func (c *conn) idleTimeNeeded() time.Duration {
@@ -115,6 +126,7 @@
 	defer c.mu.Unlock()
 	c.written.Store(writtenNothing)
 	c.push = push
+	c.assignment++
 	c.unwritten = true
 	c.answerStarted = false
 	c.refile()
@@ -176,6 +188,26 @@
 	return n, err
 }
 
+// endLateWrite sets limits for the current push to be written whole: the last byte, too, has to reach the server by then. What the
+// kernel has taken may be sent long after. The caller holds mu.
+func (c *conn) endLateWrite(push *node.Push) {
+	before := push.WriteBefore()
+	c.SetWriteDeadline(before)
+	if before.IsZero() {
+		return
+	}
+	assignment := c.assignment
+	time.AfterFunc(time.Until(before), func() {
+		c.mu.Lock()
+		late := c.assignment == assignment && c.state == stateHead && sockets.Unsent(c.rawConn) > 0
+		c.mu.Unlock()
+		if late {
+			c.openConns.recordClosed("push not written whole in time")
+			c.Close()
+		}
+	})
+}
+
 // beginWrite reports whether the current push may be written. Before the first byte of a push, nothing may have been received
 // on the connection since the last answer.
 func (c *conn) beginWrite() bool {
@@ -195,6 +227,9 @@
 		c.openConns.recordClosed("push withdrawn")
 		return false
 	}
+	if c.push != nil {
+		c.endLateWrite(c.push)
+	}
 	c.push = nil
 	c.unwritten = false
 	c.state = stateHead
