Frontend: a planned restart with short deadlines ends before its kill in a crowd

What operators would see: with the longest deadline at 0.48 s and a crowd of bad clients a node had not ended at its kill, 1.18 s after SIGTERM.

Cause: the listener's steps take up to 1.0 s whatever the deadlines are, and the kernel some 0.2 s more to reset what is left in the backlog (seen: 489 ms from the first refusal to the closed listener, 280 of them for refusing).

Change: refusing ends 0.1 s before the last answer, and what comes before it earlier, if the longest TTL asks for that. With long ones nothing changes. The steps are logged with their time and what the connections are held for.

--- a/internal/frontend/listener.go
+++ b/internal/frontend/listener.go
@@ -50,6 +50,7 @@
 	shortSince      atomic.Pointer[time.Time] // when connections began to wait; nil: the backlog has been empty since
 	ending          atomic.Bool               // the process ends; see conn.Close
 	backlogDeadline atomic.Pointer[time.Time] // when emptying the backlog ends at the latest; set by drain
+	drainEnd        atomic.Pointer[time.Time] // when refusing ends at the latest; set by drain
 }
 
 // listenTimeout is how long a listener that can't be opened is tried again: the process before may still hold the address, or the
@@ -177,12 +178,27 @@
 	return *l.backlogDeadline.Load()
 }
 
-// drain lets the listener accept connections for drainAcceptTime, then empty the backlog and close.
-func (l *listener) drain() {
-	deadline := time.Now().Add(drainAcceptTime + 4*backlogQuietTime)
-	l.backlogDeadline.Store(&deadline)
-	l.SetDeadline(time.Now().Add(drainAcceptTime))
-	time.AfterFunc(drainAcceptTime+4*backlogQuietTime, l.cancel) // ends an Accept that waits for a socket
+// listenerCloseTime is how long closing the listener may take: the kernel resets each connection that is left in its backlog.
+const listenerCloseTime = 100 * time.Millisecond
+
+// drain lets the listener accept connections for drainAcceptTime, then empty the backlog and close. Where lastAnswer, the time by which
+// the last answer must be written, comes soon, all of it ends before.
+func (l *listener) drain(lastAnswer time.Time) {
+	now := time.Now()
+	end := lastAnswer.Add(-listenerCloseTime)
+	emptiedBy := earlier(now.Add(drainAcceptTime+4*backlogQuietTime), end.Add(-refusalPeriod/2))
+	l.drainEnd.Store(&end)
+	l.backlogDeadline.Store(&emptiedBy)
+	l.SetDeadline(earlier(now.Add(drainAcceptTime), emptiedBy.Add(-2*backlogQuietTime)))
+	time.AfterFunc(time.Until(emptiedBy), l.cancel) // ends an Accept that waits for a socket
+}
+
+// earlier returns the earlier of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
 }
 
 const (
@@ -200,7 +216,7 @@
 // kernel has accepted counts as taken. If the budget is still used up, or clients connect without a pause, closing the
 // listener at once would reset such a request unanswered.
 func (l *listener) refuseBacklog(first *net.TCPConn) {
-	end := time.Now().Add(refusalPeriod)
+	end := earlier(time.Now().Add(refusalPeriod), *l.drainEnd.Load())
 	var refusals sync.WaitGroup
 	slots := make(chan struct{}, maxConcurrentRefusals)
 	startRefusal := func(tcp *net.TCPConn) {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -215,11 +215,13 @@
 	deadline := s.clock.Now() + policy.Micros(lastAnswer/time.Microsecond)
 	s.drain.Store(&drainState{startedAt: startedAt, deadline: deadline})
 	s.actor.SetShutdownDeadline(deadline)
-	s.listener.drain()
+	s.listener.drain(startedAt.Add(lastAnswer))
 	<-served
+	s.logDrain(startedAt, "the listener is closed")
 	if keepServing {
 		s.serveKeptConns(startedAt.Add(serveKept))
 	}
+	s.logDrain(startedAt, "connections are closed")
 	// Requests that bad clients have begun and never finish would delay the restart by seconds, and the next node may go
 	// down in the meantime. So connections without a complete request, on which nothing arrives any more, are closed.
 	s.listener.ending.Store(true)
@@ -240,6 +242,12 @@
 	}
 }
 
+// logDrain logs a step of a planned restart.
+func (s *Server) logDrain(startedAt time.Time, step string) {
+	s.log.Info().Int64("after_ms", time.Since(startedAt).Milliseconds()).EmbedObject(s.openConns.countUses()).
+		Msg("planned restart: " + step)
+}
+
 // serveKeptConns waits until the deadline, or until all connections are closed, while kept connections are served. The next
 // node may be in a planned restart itself, and clients that are sent away from this one at once would find no node.
 func (s *Server) serveKeptConns(deadline time.Time) {
