--- a/cmd/canvasrouter/disconnect_test.go
+++ b/cmd/canvasrouter/disconnect_test.go
@@ -39,34 +39,19 @@
 // the request or resets its connection.
 func (l *pushLog) startServer(t *testing.T, decide func(id string) (answer bool)) (addr string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				request, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				id := request.Header.Get("X-Txn")
-				l.record(id)
-				if decide(id) {
-					io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine")
-					return
-				}
-				conn.(*net.TCPConn).SetLinger(0)
-			}()
+	return startServer(t, func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		id := request.Header.Get("X-Txn")
+		l.record(id)
+		if decide(id) {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine")
+			return
 		}
-	}()
-	return listener.Addr().String()
+		conn.(*net.TCPConn).SetLinger(0)
+	})
 }
 
 // setCachedServers replaces the servers in the cached list of the configuration.
--- a/cmd/canvasrouter/leave_ahead_test.go
+++ b/cmd/canvasrouter/leave_ahead_test.go
@@ -14,34 +14,20 @@
 // silentServer starts a server that answers nothing, and reports when each connection with a whole request is closed by the node.
 func silentServer(t *testing.T) (addr string, pushed chan string, given chan time.Time) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	pushed = make(chan string, 64)
 	given = make(chan time.Time, 64)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				in := bufio.NewReader(conn)
-				request, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				io.Copy(io.Discard, request.Body)
-				pushed <- request.Header.Get("X-Txn")
-				in.ReadByte()
-				given <- time.Now()
-			}()
+	addr = startServer(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		request, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String(), pushed, given
+		io.Copy(io.Discard, request.Body)
+		pushed <- request.Header.Get("X-Txn")
+		in.ReadByte()
+		given <- time.Now()
+	})
+	return addr, pushed, given
 }
 
 // TestLeaveBehindUnreadBytes guards against pushes for a client that has closed its connection with bytes unread behind its request,
--- a/cmd/canvasrouter/main_test.go
+++ b/cmd/canvasrouter/main_test.go
@@ -88,6 +88,29 @@
 	return l.Addr().String()
 }
 
+// startServer starts a server that passes each of its connections to serve, and closes it afterwards.
+func startServer(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(conn)
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
 // awaitReady waits until the node at addr is ready.
 func awaitReady(t *testing.T, addr string) {
 	t.Helper()
--- a/cmd/canvasrouter/memory_sum_test.go
+++ b/cmd/canvasrouter/memory_sum_test.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-// Answers that a spoilingServer sends, named by the last segment of the request's path.
+// Answers of answerSpoilt, named by the last segment of the request's path.
 const (
 	answerFine        = "fine"         // a short answer
 	answerLarge       = "large"        // the largest body that is allowed
@@ -41,29 +41,8 @@
 	return text.String()
 }
 
-// startSpoilingServer starts a server that answers as the path of each request says.
-func startSpoilingServer(t *testing.T) (addr string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerSpoilt(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-// answerSpoilt answers the requests of a connection.
+// answerSpoilt answers the requests of a connection as the path of each says.
 func answerSpoilt(conn net.Conn) {
-	defer conn.Close()
 	in := bufio.NewReader(conn)
 	body := strings.Repeat("a", largestBody)
 	for {
@@ -241,7 +220,7 @@
 	t.Helper()
 	var addrs []string
 	for range 8 {
-		addrs = append(addrs, startSpoilingServer(t))
+		addrs = append(addrs, startServer(t, answerSpoilt))
 	}
 	addr := freeAddr(t)
 	p := startNodeWithTimeout(t, duration+20*time.Second, func(p *process) {
--- a/cmd/canvasrouter/soak_parts_test.go
+++ b/cmd/canvasrouter/soak_parts_test.go
@@ -27,22 +27,8 @@
 // startSoakServer starts a server of a cell.
 func startSoakServer(t *testing.T, record *soakRecord, plan soakPlan, cell int, random *rand.Rand) (addr string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { listener.Close() })
 	server := &soakServer{record: record, plan: plan, cell: cell, random: random}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go server.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
+	return startServer(t, server.serve)
 }
 
 // draw returns a random number below 1 and a time that an answer takes.
@@ -54,7 +40,6 @@
 
 // serve answers the requests of a connection.
 func (s *soakServer) serve(conn net.Conn) {
-	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
 		if _, err := in.Peek(1); err != nil {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -8,7 +8,6 @@
 	stdlog "log"
 	"net"
 	"net/http"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -72,15 +71,6 @@
 	GenerationNumber    int                        // the generation of these settings
 }
 
-// drainTimes returns, as durations after SIGTERM, how long kept connections are served and when the last answer must be
-// written. A third of the longest TTL lies between the two. TTLs count for at most maxKillTTL, because the kill does not
-// wait for longer ones.
-func (o *Options) drainTimes() (serveKept, lastAnswer time.Duration) {
-	longest := min(o.MaxTTL, maxKillTTL)
-	lastAnswer = longest + killDelay - exitReserve
-	return lastAnswer - longest/3, lastAnswer
-}
-
 // Server accepts client connections and serves ops.
 type Server struct {
 	options    atomic.Pointer[Options]
@@ -201,73 +191,6 @@
 // SetOptions applies other settings to requests that begin from now on.
 func (s *Server) SetOptions(options Options) { s.options.Store(&options) }
 
-// Drain ends the server for a planned restart without losing an op. For a while, new connections are still accepted and
-// served, with answers that close them; then the listener closes and the pending ops are finished. The channel delivers the
-// result of Serve, which ends by the drain if it has not ended before. With keepServing, connections that clients have kept
-// open are served for as long as the time until the kill allows.
-func (s *Server) Drain(served <-chan error, keepServing bool) {
-	startedAt := time.Now()
-	serveKept, lastAnswer := s.options.Load().drainTimes()
-	// The last answers are written at the deadline that ops are given, and closing connections at the same moment would cut
-	// them off.
-	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(lastAnswer+exitReserve/2))
-	defer cancel()
-	deadline := s.clock.Now() + policy.Micros(lastAnswer/time.Microsecond)
-	s.drain.Store(&drainState{startedAt: startedAt, deadline: deadline})
-	s.actor.SetShutdownDeadline(deadline)
-	s.listener.drain(startedAt.Add(lastAnswer))
-	<-served
-	s.logDrain(startedAt, "the listener is closed")
-	if keepServing {
-		s.serveKeptConns(startedAt.Add(serveKept))
-	}
-	s.logDrain(startedAt, "connections are closed")
-	// Requests that bad clients have begun and never finish would delay the restart by seconds, and the next node may go
-	// down in the meantime. So connections without a complete request, on which nothing arrives any more, are closed.
-	s.listener.ending.Store(true)
-	shutdown := make(chan error, 1)
-	go func() { shutdown <- s.http.Shutdown(ctx) }()
-	ticker := time.NewTicker(minBodyTimeout / 10)
-	defer ticker.Stop()
-	for {
-		select {
-		case err := <-shutdown:
-			if err != nil {
-				s.http.Close()
-			}
-			return
-		case <-ticker.C:
-			s.openConns.closeIncomplete(minBodyTimeout)
-		}
-	}
-}
-
-// logDrain logs a step of a planned restart.
-func (s *Server) logDrain(startedAt time.Time, step string) {
-	s.log.Info().Int64("after_ms", time.Since(startedAt).Milliseconds()).EmbedObject(s.openConns.countUses()).
-		Msg("planned restart: " + step)
-}
-
-// serveKeptConns waits until the deadline, or until all connections are closed, while kept connections are served. The next
-// node may be in a planned restart itself, and clients that are sent away from this one at once would find no node.
-func (s *Server) serveKeptConns(deadline time.Time) {
-	ticker := time.NewTicker(backlogQuietTime)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		if s.openConns.empty() || now.After(deadline) {
-			return
-		}
-	}
-}
-
-// arrivedDuringDrain reports whether a request's connection was accepted after a planned restart had begun, so that its
-// client has to be sent to another node.
-func (s *Server) arrivedDuringDrain(r *http.Request) bool {
-	drain := s.drain.Load()
-	c, ok := connOf(r)
-	return drain != nil && ok && c.acceptedAt.After(drain.startedAt)
-}
-
 // closeIfNeeded lets the answer to a request close the connection if another one has been waiting for a socket, and the client does
 // not wait for its answers: its connection would never be idle or stop, so its socket could not be reclaimed. It is called when
 // the request was read whole.
@@ -324,76 +247,3 @@
 	control.SetWriteDeadline(time.Now().Add(s.options.Load().MaxTTL + writeTimeout)) // the client may read nothing
 	s.writeAnswer(w, answer)
 }
-
-// awaitAnswer waits for the op's answer. If the client disconnects first, it abandons the op.
-func (s *Server) awaitAnswer(r *http.Request, op *node.Op) node.Answer {
-	var check <-chan time.Time
-	c, ok := connOf(r)
-	if ok {
-		if c.disconnectTimer == nil {
-			c.disconnectTimer = time.NewTimer(disconnectCheckInterval)
-		}
-		c.disconnectTimer.Reset(disconnectCheckInterval)
-		defer c.disconnectTimer.Stop()
-		check = c.disconnectTimer.C
-	}
-	for {
-		reason := "end of the connection was read"
-		select {
-		case answer := <-op.Answered():
-			return answer
-		case <-r.Context().Done():
-		case <-check:
-			if !c.disconnectedUnnoticed() {
-				c.disconnectTimer.Reset(disconnectCheckInterval)
-				continue
-			}
-			reason = "unread bytes ahead of the end"
-		}
-		s.actor.Abandon(op)
-		s.left.Log(s.log.Info(), reason, "client left", func(line *zerolog.Event) {
-			line.Str("id", shortened(op.Header.Get(idHeader))).Str("client", r.RemoteAddr)
-		})
-		return <-op.Answered()
-	}
-}
-
-// releaseID lets the id of an op come again. While a push may still run it does not: the same id, as from a client that has left
-// and comes again, would run beside that push. Nor does it right after an answer, unless the op may run any number of times.
-func (s *Server) releaseID(op *node.Op, answer node.Answer) {
-	id := op.Header.Get(idHeader)
-	answered := answer.Verdict == node.Acked && op.Method != http.MethodGet
-	if !answer.MayRunYet && !answered {
-		s.opIDs.release(id)
-		return
-	}
-	s.opIDs.releaseAt(id, time.Now().Add(s.clock.Until(op.Deadline)), !answer.MayRunYet)
-}
-
-// writeAnswer writes the final answer of an op and releases its body.
-func (s *Server) writeAnswer(w http.ResponseWriter, answer node.Answer) {
-	defer answer.Body.Release()
-	if answer.OverLimit {
-		w.Header().Set("Connection", "close")
-	}
-	switch answer.Verdict {
-	case node.Acked:
-		header := w.Header()
-		for name, values := range answer.Header {
-			header[name] = values
-		}
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body.Bytes())))
-		w.WriteHeader(http.StatusOK)
-		w.Write(answer.Body.Bytes())
-	case node.Nacked:
-		if answer.RetryAfter > 0 {
-			seconds := float64(answer.RetryAfter) / float64(policy.Second)
-			w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
-		}
-		w.WriteHeader(statusNacked)
-	case node.DeadLettered:
-		w.WriteHeader(statusDeadLettered)
-	case node.ClientLeft:
-		panic(http.ErrAbortHandler) // closes the connection without an answer
-	}
-}
--- a/internal/servers/late_push_test.go
+++ b/internal/servers/late_push_test.go
@@ -69,20 +69,28 @@
 	return addr, ids, emptyBacklog
 }
 
-// TestRepeatOnLateConnection guards against a second effect of a deduplicated op: its repeat is decided while servers still drop
-// repeats, and its connection comes up after they have forgotten the op. The op is answered when the repeat is no longer allowed,
-// without waiting for the connection.
-func TestRepeatOnLateConnection(t *testing.T) {
-	const window = 500 * policy.Millisecond
-	arrived, breakConn := make(chan string, 1), make(chan bool)
-	firstAddr := startServer(t, func(c net.Conn, in *bufio.Reader) {
+// breakingServer returns a server that reports the id of a request, which runs, and ends its connection without an answer once
+// breakConn is closed.
+func breakingServer(t *testing.T) (addr string, arrived chan string, breakConn chan bool) {
+	t.Helper()
+	arrived, breakConn = make(chan string, 1), make(chan bool)
+	addr = startServer(t, func(c net.Conn, in *bufio.Reader) {
 		id, err := readID(in)
 		if err != nil {
 			return
 		}
-		arrived <- id // runs, and breaks the connection before it is answered
+		arrived <- id
 		<-breakConn
 	})
+	return addr, arrived, breakConn
+}
+
+// TestRepeatOnLateConnection guards against a second effect of a deduplicated op: its repeat is decided while servers still drop
+// repeats, and its connection comes up after they have forgotten the op. The op is answered when the repeat is no longer allowed,
+// without waiting for the connection.
+func TestRepeatOnLateConnection(t *testing.T) {
+	const window = 500 * policy.Millisecond
+	firstAddr, arrived, breakConn := breakingServer(t)
 	lateAddr, ids, emptyBacklog := lateServer(t)
 	harness := newPolicyHarness(t, window, firstAddr)
 	op := harness.submitOp("repeated", "body", 6*policy.Second)
--- a/internal/servers/slow_write_test.go
+++ b/internal/servers/slow_write_test.go
@@ -50,15 +50,7 @@
 // and its last byte comes after they have forgotten the op.
 func TestRepeatWrittenSlowly(t *testing.T) {
 	const window = 500 * policy.Millisecond
-	arrived, breakConn := make(chan string, 1), make(chan bool)
-	firstAddr := startServer(t, func(c net.Conn, in *bufio.Reader) {
-		id, err := readID(in)
-		if err != nil {
-			return
-		}
-		arrived <- id // runs, and breaks the connection before it is answered
-		<-breakConn
-	})
+	firstAddr, arrived, breakConn := breakingServer(t)
 	slowAddr, whole, release := slowReadingServer(t)
 	harness := newPolicyHarness(t, window, firstAddr)
 	op := harness.submitOp("repeated", strings.Repeat("b", node.MaxBodyBytes), 6*policy.Second)
