--- a/internal/frontend/opids.go
+++ b/internal/frontend/opids.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// maxReservedIDs limits the ids of a set. An entry takes some 100 bytes.
-const maxReservedIDs = 1 << 14
+// maxReservedIDs limits the ids of a set. An entry takes some 60 bytes.
+const maxReservedIDs = 12_000
 
 // idReservation is the result of opIDSet.reserve.
 type idReservation int
--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -9,12 +9,17 @@
 const (
 	// programBytes is the resident part of the program itself, less what the runtime counts as its own and never touches.
 	programBytes = 4 << 20
-	// baseHeapBytes is the heap and the stacks of a node without servers and clients.
-	baseHeapBytes = 5 << 19
+	// baseHeapBytes is the heap and the stacks of a node without servers and clients, with log lines that wait to be written.
+	baseHeapBytes = 3 << 19
+	// reservedIDBytes is the set of ids that must not come again yet, when it is full.
+	reservedIDBytes = 1 << 20
 	// listBytes is a list of 3,200 servers with what is kept for each, and the lines of the next list while they are decoded.
 	listBytes = 4 << 20
 )
 
+// fixedHeapBytes is the part of the heap that does not depend on the traffic.
+const fixedHeapBytes = baseHeapBytes + reservedIDBytes + listBytes
+
 // Memory of one connection or op while it holds only what is small, in bytes. What is larger takes room in a Pool.
 const (
 	clientConnBytes = 10 << 10
@@ -83,10 +88,10 @@
 // for connections that are being closed.
 func NewPlan(limit int64, descriptors int) Plan {
 	p := Plan{Limit: limit, RegistrySockets: registrySockets}
-	variable := max(0, limit-programBytes-baseHeapBytes-listBytes)
+	variable := max(0, limit-programBytes-fixedHeapBytes)
 	kernel := int64(float64(variable) * kernelShare)
 	heap := float64(variable-kernel) * (1 - garbageShare)
-	p.HeapLimit = max(limit-programBytes-kernel, baseHeapBytes+listBytes)
+	p.HeapLimit = max(limit-programBytes-kernel, fixedHeapBytes)
 	p.HeadBytes = int64(heap * headShare)
 	p.BodyBytes = int64(heap * bodyShare)
 	p.AnswerBytes = int64(heap * answerShare)
--- a/internal/memory/plan_test.go
+++ b/internal/memory/plan_test.go
@@ -19,7 +19,7 @@
 		}
 		live := p.HeadBytes + p.BodyBytes + p.AnswerBytes +
 			int64(p.ClientSockets*clientConnBytes+p.PendingOps*pendingOpBytes+p.ServerSockets*serverConnBytes)
-		if heap := float64(p.HeapLimit-baseHeapBytes-listBytes) * (1 - garbageShare); float64(live) > heap {
+		if heap := float64(p.HeapLimit-fixedHeapBytes) * (1 - garbageShare); float64(live) > heap {
 			t.Errorf("%s: what is held may take %d bytes of %.0f", name, live, heap)
 		}
 		if sockets := reservedFiles + p.ClientSockets + p.ServerSockets + p.RegistrySockets; sockets > c.descriptors {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -31,7 +31,7 @@
 
 // logBufferLines is the number of log lines that may wait to be written. Beyond it the oldest lines are dropped, so that no
 // op ever waits for the log.
-const logBufferLines = 4096
+const logBufferLines = 1024
 
 // logFlushTimeout bounds how long the exit waits until the last log lines are written.
 const logFlushTimeout = 200 * time.Millisecond
