Memory: no socket has more than 64 kB, so a close behind unread bytes shows at once

With a buffer of 207 kB half of it is not used up by 70 kB, and the end of the connection waits behind acknowledgements that the kernel delays. The look 50 ms after the request sees neither, the next one just misses the bound.

The bound and the sizes of the test stay.

--- a/internal/memory/plan.go
+++ b/internal/memory/plan.go
@@ -58,7 +58,7 @@
 // Limits of the kernel's memory for one socket. Below the minimum a body takes many round trips.
 const (
 	minBuffer      = 6 << 10
-	maxBuffer      = 256 << 10
+	maxBuffer      = 32 << 10
 	backlogReceive = 4608 // the least that the kernel allows; a connection is given more once it is accepted
 )
 
