Tests: the fault of unread bytes is one that is seen in each run

The row's fault is now that received bytes are not counted at all, which TestPendingAheadOfClose fails on in any run. The test of the pieces stays as it is.

--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -77,7 +77,7 @@
 		"the delay of a watch grows too long":            {"../registry/registry.go", "limit = min(limit, grace/2)", "_ = grace", "internal/registry", "TestAutoWatchBackoff"},
 		"an answered id is free at once":                 {"../frontend/answer.go", "answer.Verdict == node.Acked && op", "false && op", "cmd/canvasrouter", "TestIDAfterAnswer"},
 		"a repeat arrives after its window":              {"../servers/conn.go", "c.endLateWrite(c.push)", "_ = c.push", "internal/servers", "TestRepeatWrittenSlowly"},
-		"only bytes behind a request count":              {"../frontend/tcpinfo_linux.go", "if errno == 0 {", "if errno > 1000 {", "cmd/canvasrouter", "TestLeaveBehindUnreadBytes"},
+		"bytes behind a request are not counted":         {"../frontend/tcpinfo_linux.go", "memoryReceived  = 0", "memoryReceived  = 2", "internal/frontend", "TestPendingAheadOfClose"},
 		"a log without a reader ends the process":        {"../serve/serve.go", "signal.Ignore(syscall.SIGPIPE)", "signal.Ignore(syscall.SIGWINCH)", "cmd/canvasrouter", "TestLogReaderLeaves"},
 		"the bounds exceed the memory":                   {"../memory/plan.go", "unit := min(maxBuffer, max(minBuffer,", "unit := max(maxBuffer, max(minBuffer,", "internal/memory", "TestPlan"},
 		"a shortage of sockets takes servers out":        {"../sockets/sockets.go", "IsShortage(err) && ctx.Err() == nil", "false", "internal/sockets", "TestDialDuringShortage"},
